--- /dev/null
+++ b/core/net/http_server.cpp
@@ -0,0 +1,124 @@
+#include "core/net/http_server.h"
+
+#include <algorithm>
+#include <cctype>
+#include <httplib.h>
+#include <thread>
+
+namespace Onyxnotch {
+
+namespace {
+
+    // Kept-alive connections that idle hold a thread each, so they are closed soon.
+    constexpr time_t keepAliveSeconds = 2;
+    constexpr std::size_t requestsPerConnection = 100000;
+
+    std::string lowerCase(std::string text)
+    {
+        std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+        return text;
+    }
+
+    HttpRequest fromLibrary(const httplib::Request& source)
+    {
+        HttpRequest request { .method = source.method, .path = source.path, .query = {}, .headers = {}, .body = source.body, .captures = {} };
+        for (const auto& [name, value] : source.params)
+            request.query.emplace(name, value);
+        for (const auto& [name, value] : source.headers)
+            request.headers.emplace(lowerCase(name), value);
+        for (std::size_t n = 1; n < source.matches.size(); ++n)
+            request.captures.push_back(source.matches[n].str());
+        return request;
+    }
+
+    void toLibrary(HttpResponse response, httplib::Response& target)
+    {
+        target.status = response.status;
+        for (const auto& [name, value] : response.headers)
+            target.set_header(name, value);
+        if (!response.stream) {
+            target.set_content(response.body, response.contentType);
+            return;
+        }
+        auto provider = [stream = std::move(response.stream)](std::size_t, httplib::DataSink& sink) {
+            stream([&sink](std::string_view part) { return sink.write(part.data(), part.size()); });
+            sink.done();
+            return true;
+        };
+        target.set_chunked_content_provider(response.contentType, provider);
+    }
+
+} // namespace
+
+struct HttpServer::Implementation {
+    HttpServerOptions options;
+    httplib::Server server;
+    std::thread acceptThread;
+    Address bound;
+};
+
+HttpServer::HttpServer(const HttpServerOptions& options)
+    : m_implementation(std::make_unique<Implementation>())
+{
+    m_implementation->options = options;
+    auto& server = m_implementation->server;
+    server.new_task_queue = [n = options.threads] { return new httplib::ThreadPool(n); };
+    server.set_keep_alive_max_count(requestsPerConnection);
+    server.set_keep_alive_timeout(keepAliveSeconds);
+    server.set_tcp_nodelay(true);
+    server.set_read_timeout(options.readTimeout);
+    server.set_write_timeout(options.writeTimeout);
+    server.set_payload_max_length(options.maximumBodyBytes);
+    // The library's default also sets SO_REUSEPORT, which would let two processes share a port unnoticed.
+    server.set_socket_options([](socket_t socket) {
+        int enabled = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    });
+}
+
+HttpServer::~HttpServer() { stop(); }
+
+void HttpServer::route(const std::string& method, const std::string& pattern, Handler handler)
+{
+    auto adapter = [handler = std::move(handler)](const httplib::Request& request, httplib::Response& response) {
+        toLibrary(handler(fromLibrary(request)), response);
+    };
+    auto& server = m_implementation->server;
+    if (method == "GET")
+        server.Get(pattern, adapter);
+    else if (method == "POST")
+        server.Post(pattern, adapter);
+    else if (method == "PUT")
+        server.Put(pattern, adapter);
+    else
+        server.Delete(pattern, adapter);
+}
+
+Status HttpServer::start()
+{
+    auto& [options, server, acceptThread, bound] = *m_implementation;
+    int port = options.port;
+    if (port == 0)
+        port = server.bind_to_any_port(options.host);
+    else if (!server.bind_to_port(options.host, port))
+        port = -1;
+    if (port <= 0)
+        return Error { ErrorCode::Unavailable, "cannot listen on " + options.host + ":" + std::to_string(options.port) };
+    bound = Address { .host = options.host, .port = static_cast<std::uint16_t>(port) };
+    acceptThread = std::thread([implementation = m_implementation.get()] { implementation->server.listen_after_bind(); });
+    // stop() has no effect on a server that is not yet running.
+    while (!server.is_running())
+        std::this_thread::yield();
+    return success();
+}
+
+Address HttpServer::address() const { return m_implementation->bound; }
+
+void HttpServer::stop()
+{
+    m_implementation->server.stop();
+    if (m_implementation->acceptThread.joinable())
+        m_implementation->acceptThread.join();
+}
+
+} // namespace Onyxnotch
