--- /dev/null
+++ b/modules/gateway/gateway.cpp
@@ -0,0 +1,163 @@
+#include "modules/gateway/gateway.h"
+
+#include "core/log.h"
+
+namespace Onyxnotch {
+
+namespace {
+
+    constexpr Milliseconds signalPoll { 50 };
+    constexpr Milliseconds noticeWait { 2000 };
+    constexpr Milliseconds noticeBackoff { 500 };
+    constexpr Milliseconds answerPoll { 20 };
+    // Kept of the time on notice for the last bytes to callers.
+    constexpr Milliseconds lastBytesTime { 200 };
+    constexpr Milliseconds stopHandoverTime { 5000 };
+    constexpr Milliseconds stopAnswerTime { 5000 };
+
+    RequestServerOptions requestOptionsOf(const GatewayOptions& options, const Member& identity)
+    {
+        auto requests = options.requests;
+        requests.node = identity.node;
+        requests.incarnation = identity.incarnation;
+        requests.instance = options.node.instance;
+        requests.runner.node = identity.node;
+        requests.runner.incarnation = identity.incarnation;
+        requests.ledgers.node = identity.node;
+        requests.ledgers.incarnation = identity.incarnation;
+        return requests;
+    }
+
+} // namespace
+
+Gateway::Gateway(const GatewayOptions& options)
+    : m_options(options)
+    , m_node(options.node)
+    , m_directory(m_node.replica(), m_node.membership(), m_loads, options.routing)
+    , m_requests(requestOptionsOf(options, m_node.identity()), m_node.replica(), m_node.membership(), m_directory, m_node.timers(), m_node.metrics())
+    , m_http(options.http)
+    , m_api(options.api, m_http, m_requests, m_node.replica(), m_node.membership(), m_node.metrics())
+{
+}
+
+Gateway::~Gateway()
+{
+    m_stopping = true;
+    m_loadTimer.cancel();
+    if (m_noticeThread.joinable())
+        m_noticeThread.join();
+    m_http.stop();
+    m_node.stop();
+}
+
+Status Gateway::start()
+{
+    BOOST_OUTCOME_TRYV(m_http.start());
+    m_node.membership().subscribe([this](const MemberView& view) {
+        auto it = view.marks.find(m_options.node.instance);
+        if (it == view.marks.end())
+            return;
+        auto now = wallMilliseconds();
+        auto deadline = it->second.deadlineWallMilliseconds;
+        noticeReclaim(deadline == 0 ? stopHandoverTime : Milliseconds(deadline > now ? deadline - now : 0));
+    });
+    auto port = m_options.advertisedHttpPort != 0 ? m_options.advertisedHttpPort : m_http.address().port;
+    BOOST_OUTCOME_TRYV(m_node.start(port, [this](const Frame& frame) { return m_requests.handlePeerFrame(frame); }));
+    m_requests.start();
+    m_loadTimer = m_node.timers().every(m_options.loadPeriod, [this] { pollLoads(); });
+    m_noticeThread = std::thread([this] { watchOwnNotice(); });
+    return success();
+}
+
+void Gateway::pollLoads()
+{
+    for (const auto& it : m_directory.all()) {
+        if (m_stopping || it.model.empty() || m_directory.isLeaving(it.id))
+            continue;
+        auto load = EngineClient(it.address).load();
+        if (!load)
+            continue;
+        m_loads.report(it.id, load.value());
+        if (load.value().leaving)
+            m_node.membership().announceMark({ .endpoint = it.id, .deadlineWallMilliseconds = 0, .source = LeavingSource::EngineReport });
+    }
+}
+
+void Gateway::watchOwnNotice()
+{
+    std::uint64_t last = 0;
+    while (!m_stopping) {
+        auto notices = m_node.cloud().notices(last, noticeWait);
+        if (!notices) {
+            std::this_thread::sleep_for(noticeBackoff);
+            continue;
+        }
+        for (const auto& it : notices.value()) {
+            last = std::max(last, it.sequence);
+            if (it.instance == m_options.node.instance)
+                noticeReclaim(it.timeLeft);
+        }
+    }
+}
+
+void Gateway::noticeReclaim(Milliseconds timeLeft)
+{
+    std::lock_guard lock(m_mutex);
+    auto deadline = steadyNow() + timeLeft;
+    // The same notice may come several times and by several ways; the earliest deadline counts.
+    if (!m_reclaimDeadline || deadline < *m_reclaimDeadline)
+        m_reclaimDeadline = deadline;
+}
+
+void Gateway::runUntilStopped(StopSignal& signal)
+{
+    while (true) {
+        if (signal.waitFor(signalPoll)) {
+            drain(signal);
+            return;
+        }
+        std::optional<SteadyTime> deadline;
+        {
+            std::lock_guard lock(m_mutex);
+            deadline = m_reclaimDeadline;
+        }
+        if (deadline) {
+            leaveBefore(*deadline);
+            return;
+        }
+    }
+}
+
+void Gateway::leaveBefore(SteadyTime deadline)
+{
+    logEvent(LogLevel::Warning, "reclaim_notice", { { "time_left_ms", toMilliseconds(deadline - steadyNow()).count() }, { "running", m_requests.runningCount() } });
+    auto usable = deadline - lastBytesTime;
+    m_requests.beginLeaving(usable);
+    m_requests.handOver(usable);
+    waitAnswersWritten(deadline);
+    logEvent(LogLevel::Info, "left", { { "running", m_requests.runningCount() } });
+}
+
+void Gateway::drain(StopSignal& signal)
+{
+    logEvent(LogLevel::Info, "drain_started", { { "running", m_requests.runningCount() } });
+    m_requests.beginLeaving(steadyNow() + stopHandoverTime);
+    bool hurried = false;
+    auto interrupted = [&] {
+        std::lock_guard lock(m_mutex);
+        hurried = hurried || signal.waitFor(Milliseconds(0)) || m_reclaimDeadline.has_value();
+        return hurried;
+    };
+    m_requests.waitIdle(m_options.drainLimit, interrupted);
+    m_requests.handOver(steadyNow() + stopHandoverTime);
+    waitAnswersWritten(steadyNow() + stopAnswerTime);
+    logEvent(LogLevel::Info, "drain_ended", { { "running", m_requests.runningCount() } });
+}
+
+void Gateway::waitAnswersWritten(SteadyTime deadline) const
+{
+    while (m_api.openAnswers() > 0 && steadyNow() < deadline)
+        std::this_thread::sleep_for(answerPoll);
+}
+
+} // namespace Onyxnotch
--- /dev/null
+++ b/modules/gateway/request_server.cpp
@@ -0,0 +1,608 @@
+#include "modules/gateway/request_server.h"
+
+#include "core/log.h"
+#include "modules/request/chat_protocol.h"
+#include <algorithm>
+#include <random>
+#include <thread>
+
+namespace Onyxnotch {
+
+namespace {
+
+    constexpr Milliseconds leavingCheckPeriod { 100 };
+    constexpr Milliseconds expirePeriod { 1000 };
+    constexpr Milliseconds successorWait { 1500 };
+    constexpr Milliseconds successorPoll { 20 };
+    constexpr std::size_t maximumPlainTraces = 10000;
+    constexpr std::size_t maximumMovedEntries = 20000;
+    // Kept of the time on notice for the last messages to the successor.
+    constexpr Milliseconds lastMessagesTime { 400 };
+
+    constexpr int badRequest = 400;
+    constexpr int forbidden = 403;
+    constexpr int notFound = 404;
+    constexpr int preconditionRequired = 428;
+    constexpr int tooManyRequests = 429;
+    constexpr int serviceUnavailable = 503;
+    constexpr int gatewayTimeout = 504;
+
+    RequestError refusal(int status, std::string reason, Milliseconds retryAfter = Milliseconds(0))
+    {
+        return { .outcome = RequestOutcome::NotRun, .httpStatus = status, .reason = std::move(reason), .retryAfter = retryAfter };
+    }
+
+    RequestError unknownOutcome(std::string reason)
+    {
+        return { .outcome = RequestOutcome::Unknown, .httpStatus = gatewayTimeout, .reason = std::move(reason) };
+    }
+
+} // namespace
+
+RequestServer::RequestServer(const RequestServerOptions& options, const StateReplica& replica, MembershipServer& membership, const EndpointDirectory& directory, TimerService& timers, Metrics& metrics)
+    : m_options(options)
+    , m_replica(replica)
+    , m_membership(membership)
+    , m_directory(directory)
+    , m_timers(timers)
+    , m_metrics(metrics)
+    , m_admission(options.admission)
+    , m_runner(options.runner, directory, m_retries, metrics)
+    , m_ledgers(options.ledgers)
+    , m_handover(options.handover, membership, m_ledgers, metrics)
+{
+}
+
+RequestServer::~RequestServer()
+{
+    m_subscriptions.clear();
+    for (const auto& it : m_table.all())
+        it->interrupt(Interruption::Handover);
+    giveUpPlainCalls();
+    std::unique_lock lock(m_mutex);
+    m_idle.wait(lock, [this] { return m_threads == 0; });
+}
+
+void RequestServer::start()
+{
+    m_subscriptions.push_back(m_timers.every(leavingCheckPeriod, [this] { checkLeavingEndpoints(); }));
+    m_subscriptions.push_back(m_timers.every(expirePeriod, [this] { expire(); }));
+}
+
+// --- Tickets ---
+
+std::optional<Member> RequestServer::waitSuccessor() const
+{
+    // The ledgers are being given just now, which takes a few messages.
+    auto limit = steadyNow() + successorWait;
+    while (!m_handover.successor() && steadyNow() < limit)
+        std::this_thread::sleep_for(successorPoll);
+    return m_handover.successor();
+}
+
+void RequestServer::resolveGiven(TicketDecision& decision, bool forwarded) const
+{
+    decision.forwardTo = forwarded ? std::nullopt : waitSuccessor();
+    if (!decision.forwardTo)
+        decision.error = unknownOutcome("this node is leaving and its successor is not known");
+}
+
+RequestServer::TicketPlace RequestServer::locate(const Ticket& ticket, bool forwarded) const
+{
+    if (m_ledgers.answersFor(ticket)) {
+        bool given = m_ledgers.given();
+        return { .here = !given, .given = given, .forwardTo = std::nullopt };
+    }
+    if (forwarded)
+        return {};
+    auto member = m_membership.view()->answeringNode(ticket.node, ticket.incarnation);
+    if (member && member->node == m_options.node)
+        member.reset();
+    return { .here = false, .given = false, .forwardTo = member };
+}
+
+RequestServer::TicketDecision RequestServer::decideTicket(const Caller& caller, const std::string& text, bool repeatable, bool forwarded)
+{
+    auto ticket = parseTicket(text);
+    if (!ticket)
+        return { .error = refusal(badRequest, ticket.error().message) };
+    auto place = locate(ticket.value(), forwarded);
+    if (place.here)
+        return decideHere(caller, ticket.value(), repeatable);
+    if (place.given)
+        return { .given = true };
+    if (place.forwardTo)
+        return { .forwardTo = place.forwardTo };
+    if (repeatable)
+        return { .startAfresh = true };
+    return { .error = unknownOutcome("the node that answers for this ticket cannot be asked") };
+}
+
+RequestServer::TicketDecision RequestServer::decideHere(const Caller& caller, const Ticket& ticket, bool repeatable)
+{
+    auto decision = m_ledgers.admit(ticket, caller.team);
+    if (!decision && decision.error().code == ErrorCode::Unauthorized)
+        return { .error = refusal(forbidden, decision.error().message) };
+    if (!decision)
+        return { .error = unknownOutcome(decision.error().message) };
+    switch (decision.value().verdict) {
+    case LedgerVerdict::Run:
+        return { .requestId = ticket.text() };
+    case LedgerVerdict::Known:
+        return decideKnown(*decision.value().entry, repeatable);
+    case LedgerVerdict::Refused:
+        return { .error = refusal(serviceUnavailable, "this ticket was refused before", m_options.comeBack) };
+    case LedgerVerdict::Full:
+        return { .error = refusal(serviceUnavailable, "the request ledger of this node is full", m_options.comeBack) };
+    case LedgerVerdict::Expired:
+        if (repeatable)
+            return { .startAfresh = true };
+        return { .error = unknownOutcome("the ticket has expired") };
+    case LedgerVerdict::Given:
+        return { .given = true };
+    }
+    return { .error = unknownOutcome("not decided") };
+}
+
+RequestServer::TicketDecision RequestServer::decideKnown(const LedgerEntry& entry, bool repeatable)
+{
+    bool here = entry.holderNode == m_options.node && entry.holderIncarnation == m_options.incarnation;
+    if (here || entry.outcome != RequestOutcome::Running)
+        return { .known = entry };
+    auto holder = m_membership.view()->answeringNode(entry.holderNode, entry.holderIncarnation);
+    if (holder && holder->node != m_options.node)
+        return { .forwardTo = holder };
+    if (repeatable)
+        return { .startAfresh = true };
+    return { .error = unknownOutcome("the node that ran it is gone") };
+}
+
+RequestServer::TicketDecision RequestServer::enterFresh(const Caller& caller, bool mayHaveRunElsewhere)
+{
+    auto refuse = [&](const std::string& reason) {
+        return mayHaveRunElsewhere ? unknownOutcome(reason) : refusal(serviceUnavailable, reason, m_options.comeBack);
+    };
+    if (m_leaving) {
+        auto error = refuse("this node is leaving");
+        error.addresses = addresses(4);
+        return { .error = error };
+    }
+    auto ticket = m_ledgers.issue(caller.team);
+    auto decision = m_ledgers.admit(ticket, caller.team);
+    if (!decision || decision.value().verdict != LedgerVerdict::Run)
+        return { .error = refuse("the request ledger of this node is full") };
+    return { .requestId = ticket.text() };
+}
+
+std::string RequestServer::issueTicket(const Caller& caller) { return m_ledgers.issue(caller.team).text(); }
+
+std::vector<std::string> RequestServer::addresses(std::size_t count) const
+{
+    auto view = m_membership.view();
+    auto members = view->usable(MemberRole::Gateway);
+    thread_local std::mt19937_64 random { std::random_device {}() };
+    std::shuffle(members.begin(), members.end(), random);
+    // A node that leaves with its zone must not be the only one that its callers know.
+    std::map<std::string, unsigned> ofZone;
+    std::vector<std::pair<unsigned, std::string>> ranked;
+    ranked.reserve(members.size());
+    for (const auto& it : members)
+        ranked.emplace_back(ofZone[it.zone]++, it.httpAddress().text());
+    std::stable_sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::vector<std::string> chosen;
+    for (std::size_t n = 0; n < ranked.size() && n < count; ++n)
+        chosen.push_back(ranked[n].second);
+    return chosen;
+}
+
+// --- Acceptance ---
+
+std::optional<RequestError> RequestServer::permissionError(const Caller& caller, const std::string& service, ServiceType type) const
+{
+    auto state = m_replica.state();
+    const auto* object = state->configuration.find({ .kind = ObjectKind::Service, .name = service });
+    const auto* spec = object ? std::get_if<ServiceSpec>(&object->spec) : nullptr;
+    if (!spec || spec->type != type)
+        return refusal(notFound, "no such service: " + service);
+    if (!caller.services.matches(object->labels))
+        return refusal(forbidden, "team " + caller.team + " may not call " + service);
+    return std::nullopt;
+}
+
+std::optional<RequestError> RequestServer::admissionError(const Caller& caller)
+{
+    auto nodes = m_membership.view()->usable(MemberRole::Gateway).size();
+    AdmissionRequest request {
+        .team = caller.team,
+        .teamRatePerSecond = caller.requestsPerSecond,
+        .nodes = static_cast<unsigned>(std::max<std::size_t>(1, nodes)),
+        .priority = caller.priority,
+        .active = static_cast<unsigned>(m_table.runningCount()),
+    };
+    auto refused = m_admission.admit(request, steadyNow());
+    m_metrics.increment("onyxnotch_admissions_total", { { "team", caller.team }, { "result", refused ? "refused" : "accepted" } });
+    if (!refused)
+        return std::nullopt;
+    return refusal(tooManyRequests, refused->reason, refused->retryAfter);
+}
+
+Acceptance RequestServer::acceptModel(const Caller& caller, const ChatRequest& chat, const std::string& ticket, bool forwarded)
+{
+    Acceptance acceptance;
+    acceptance.error = permissionError(caller, chat.service, ServiceType::Model);
+    if (acceptance.error)
+        return acceptance;
+    if (!ticket.empty() && m_table.find(ticket))
+        return find(caller, ticket, forwarded);
+    std::shared_lock acceptanceLock(m_acceptance);
+    auto decision = ticket.empty() ? enterFresh(caller, false) : decideTicket(caller, ticket, true, forwarded);
+    if (decision.given) {
+        acceptanceLock.unlock();
+        resolveGiven(decision, forwarded);
+    }
+    bool afresh = decision.startAfresh;
+    if (afresh)
+        decision = enterFresh(caller, true);
+    if (decision.known) {
+        acceptanceLock.unlock();
+        return findAnywhere(ticket, forwarded);
+    }
+    acceptance.error = decision.error;
+    acceptance.forwardTo = decision.forwardTo;
+    acceptance.requestId = decision.requestId;
+    if (acceptance.error || acceptance.forwardTo)
+        return acceptance;
+    if (auto refused = admissionError(caller)) {
+        // Entered as not run: a copy that is still on its way will not run either.
+        m_ledgers.finish(decision.requestId, RequestOutcome::NotRun);
+        acceptance.error = afresh ? unknownOutcome(refused->reason) : *refused;
+        return acceptance;
+    }
+    m_retries.onRequest();
+    RequestDescription description {
+        .id = decision.requestId,
+        .team = caller.team,
+        .service = chat.service,
+        .prompt = chat.prompt,
+        .promptTokens = estimateTokens(chat.prompt),
+        .maximumTokens = chat.maximumTokens,
+        .priority = caller.priority,
+    };
+    acceptance.request = std::make_shared<ActiveRequest>(description, steadyNow() + m_options.requestDeadline);
+    acceptance.request->trace(m_options.node, "accepted", "team " + caller.team + ", service " + chat.service);
+    m_table.add(acceptance.request);
+    startThread(acceptance.request);
+    return acceptance;
+}
+
+Acceptance RequestServer::findAnywhere(const std::string& requestId, bool forwarded)
+{
+    Acceptance acceptance;
+    acceptance.requestId = requestId;
+    acceptance.request = m_table.find(requestId);
+    if (acceptance.request)
+        return acceptance;
+    auto ticket = parseTicket(requestId);
+    if (!ticket) {
+        acceptance.error = refusal(notFound, "no such request");
+        return acceptance;
+    }
+    auto place = locate(ticket.value(), forwarded);
+    acceptance.forwardTo = place.given && !forwarded ? waitSuccessor() : place.forwardTo;
+    auto entry = place.here ? m_ledgers.find(requestId) : std::nullopt;
+    if (entry) {
+        auto known = decideKnown(*entry, false);
+        acceptance.forwardTo = forwarded ? std::nullopt : known.forwardTo;
+    }
+    if (!acceptance.forwardTo) {
+        acceptance.error = unknownOutcome("the request is not known here any more");
+        if (place.here && !entry)
+            acceptance.error = RequestError { .outcome = RequestOutcome::Unknown, .httpStatus = notFound, .reason = "no such request, or one too old to tell" };
+        if (entry && entry->outcome == RequestOutcome::NotRun)
+            acceptance.error = refusal(serviceUnavailable, "the request was refused", m_options.comeBack);
+    }
+    return acceptance;
+}
+
+Acceptance RequestServer::find(const Caller& caller, const std::string& requestId, bool forwarded)
+{
+    auto acceptance = findAnywhere(requestId, forwarded);
+    // Another team's request looks like one that does not exist.
+    if (acceptance.request && acceptance.request->description().team != caller.team) {
+        acceptance.request = nullptr;
+        acceptance.error = refusal(notFound, "no such request");
+    }
+    return acceptance;
+}
+
+Acceptance RequestServer::findForOperator(const std::string& requestId, bool forwarded) { return findAnywhere(requestId, forwarded); }
+
+// --- Plain services ---
+
+PlainAcceptance RequestServer::runPlain(const Caller& caller, PlainRequest request, const std::string& ticket, bool forwarded)
+{
+    PlainAcceptance acceptance;
+    acceptance.error = permissionError(caller, request.service, ServiceType::Plain);
+    if (acceptance.error)
+        return acceptance;
+    request.repeatable = m_replica.state()->configuration.service(request.service)->repeatable;
+    if (ticket.empty() && !request.repeatable) {
+        acceptance.error = refusal(preconditionRequired, "a call that may not be repeated needs a ticket");
+        acceptance.error->ticket = m_leaving ? std::string() : issueTicket(caller);
+        acceptance.error->addresses = m_leaving ? addresses(4) : std::vector<std::string>();
+        return acceptance;
+    }
+    std::shared_lock acceptanceLock(m_acceptance);
+    auto decision = ticket.empty() ? enterFresh(caller, false) : decideTicket(caller, ticket, request.repeatable, forwarded);
+    if (decision.given) {
+        acceptanceLock.unlock();
+        resolveGiven(decision, forwarded);
+    }
+    bool afresh = decision.startAfresh;
+    if (afresh)
+        decision = enterFresh(caller, true);
+    acceptance.error = decision.error;
+    acceptance.forwardTo = decision.forwardTo;
+    acceptance.requestId = decision.known ? decision.known->requestId : decision.requestId;
+    if (acceptance.error || acceptance.forwardTo)
+        return acceptance;
+    if (decision.known) {
+        acceptanceLock.unlock();
+        return repeatPlain(*decision.known);
+    }
+    if (auto refused = admissionError(caller)) {
+        m_ledgers.finish(decision.requestId, RequestOutcome::NotRun);
+        acceptance.error = afresh ? unknownOutcome(refused->reason) : *refused;
+        return acceptance;
+    }
+    m_retries.onRequest();
+    auto call = std::make_shared<PlainCall>(m_options.plain, m_directory, m_retries, m_metrics);
+    {
+        std::lock_guard lock(m_mutex);
+        m_plainCalls.emplace(decision.requestId, call);
+        m_plainTraces.emplace_back(decision.requestId, TraceEntry { .wallTime = wallMilliseconds(), .node = m_options.node, .event = "accepted", .detail = "team " + caller.team + ", service " + request.service });
+    }
+    acceptanceLock.unlock();
+    request.id = decision.requestId;
+    acceptance.answer = runPlainHere(request, decision.requestId);
+    return acceptance;
+}
+
+PlainAnswer RequestServer::runPlainHere(PlainRequest request, const std::string& requestId)
+{
+    std::shared_ptr<PlainCall> call;
+    {
+        std::lock_guard lock(m_mutex);
+        call = m_plainCalls.at(requestId);
+    }
+    m_table.noteStarted();
+    auto answer = call->run(request, steadyNow() + m_options.requestDeadline);
+    m_ledgers.finish(requestId, answer.outcome, answer.httpStatus, answer.body);
+    if (m_ledgers.given())
+        m_handover.sendUpdate(requestId);
+    m_table.noteEnded();
+    m_metrics.increment("onyxnotch_requests_total", { { "service", request.service }, { "outcome", toString(answer.outcome) } });
+    logEvent(LogLevel::Info, "request_ended", { { "request_id", requestId }, { "service", request.service }, { "outcome", toString(answer.outcome) }, { "reason", answer.reason } });
+    std::lock_guard lock(m_mutex);
+    m_plainCalls.erase(requestId);
+    m_plainTraces.emplace_back(requestId, TraceEntry { .wallTime = wallMilliseconds(), .node = m_options.node, .event = toString(answer.outcome), .detail = answer.reason });
+    while (m_plainTraces.size() > maximumPlainTraces)
+        m_plainTraces.pop_front();
+    m_idle.notify_all();
+    return answer;
+}
+
+PlainAcceptance RequestServer::repeatPlain(const LedgerEntry& known)
+{
+    PlainAcceptance acceptance;
+    acceptance.requestId = known.requestId;
+    auto entry = m_ledgers.waitFinished(known.requestId, m_options.requestDeadline);
+    if (!entry || entry->outcome == RequestOutcome::Running || entry->outcome == RequestOutcome::Unknown) {
+        acceptance.error = unknownOutcome("an earlier copy of the request may have run");
+        return acceptance;
+    }
+    if (entry->outcome == RequestOutcome::NotRun) {
+        acceptance.error = refusal(serviceUnavailable, "the request was refused", m_options.comeBack);
+        return acceptance;
+    }
+    acceptance.answer = PlainAnswer { .outcome = entry->outcome, .httpStatus = entry->httpStatus, .contentType = "application/json", .body = entry->body };
+    return acceptance;
+}
+
+std::vector<TraceEntry> RequestServer::plainTrace(const std::string& requestId) const
+{
+    std::lock_guard lock(m_mutex);
+    std::vector<TraceEntry> entries;
+    for (const auto& [id, entry] : m_plainTraces) {
+        if (id == requestId)
+            entries.push_back(entry);
+    }
+    return entries;
+}
+
+// --- Running ---
+
+void RequestServer::startThread(const std::shared_ptr<ActiveRequest>& request)
+{
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_threads;
+    }
+    m_table.noteStarted();
+    request->setRunning(true);
+    std::thread([this, request] {
+        runRequest(request);
+        request->setRunning(false);
+        m_table.noteEnded();
+        std::lock_guard lock(m_mutex);
+        --m_threads;
+        m_idle.notify_all();
+    }).detach();
+}
+
+void RequestServer::runRequest(const std::shared_ptr<ActiveRequest>& request)
+{
+    m_runner.run(*request);
+    auto outcome = request->answer().outcome();
+    if (outcome == RequestOutcome::Running)
+        return; // Handed over.
+    const auto& description = request->description();
+    m_ledgers.finish(description.id, outcome);
+    m_metrics.increment("onyxnotch_requests_total", { { "service", description.service }, { "outcome", toString(outcome) } });
+    m_metrics.increment("onyxnotch_generated_tokens_total", { { "service", description.service } }, request->answer().tokens());
+    logEvent(LogLevel::Info, "request_ended", { { "request_id", description.id }, { "service", description.service }, { "outcome", toString(outcome) }, { "tokens", request->answer().tokens() } });
+}
+
+void RequestServer::checkLeavingEndpoints()
+{
+    std::map<std::string, double> transfers;
+    for (const auto& it : m_table.all()) {
+        auto place = it->place();
+        if (place.empty() || it->answer().outcome() != RequestOutcome::Running || !m_directory.isLeaving(place.endpoint))
+            continue;
+        auto& ahead = transfers[place.endpoint];
+        if (m_runner.planFor(*it, ahead).action == ReclaimAction::Stay)
+            continue;
+        ++ahead;
+        it->interrupt(Interruption::EndpointLeaving);
+    }
+}
+
+void RequestServer::expire()
+{
+    m_ledgers.expire();
+    m_table.expire(steadyNow(), m_options.retention);
+    for (const auto& it : m_table.all()) {
+        if (it->answer().outcome() == RequestOutcome::Running && it->unreadFor() > m_options.runner.unreadLimit)
+            it->interrupt(Interruption::Cancelled);
+    }
+    m_metrics.set("onyxnotch_running_requests", static_cast<double>(m_table.runningCount()));
+    m_metrics.set("onyxnotch_ledger_entries", static_cast<double>(m_ledgers.entryCount()));
+}
+
+// --- Leaving ---
+
+void RequestServer::beginLeaving(SteadyTime deadline)
+{
+    if (m_leaving.exchange(true))
+        return;
+    m_membership.announceLeaving();
+    m_handover.giveLedgers(deadline);
+}
+
+void RequestServer::handOver(SteadyTime deadline)
+{
+    {
+        // Requests that were admitted before the ledgers were given get into the table first.
+        std::unique_lock acceptanceLock(m_acceptance);
+    }
+    auto requests = m_table.all();
+    std::erase_if(requests, [](const auto& it) { return it->answer().outcome() == RequestOutcome::NotRun; });
+    auto moved = [this](const std::shared_ptr<ActiveRequest>& request, const Member& target) {
+        const auto& id = request->description().id;
+        {
+            std::lock_guard lock(m_mutex);
+            if (m_movedTo.size() < maximumMovedEntries)
+                m_movedTo[id] = { target.httpAddress().text() };
+        }
+        m_ledgers.setHolder(id, target.node, target.incarnation);
+    };
+    auto left = [this](const std::shared_ptr<ActiveRequest>& request) {
+        request->clearInterruption();
+        request->answer().clearMoved();
+        if (request->answer().outcome() == RequestOutcome::Running)
+            startThread(request);
+    };
+    m_handover.giveRequests(requests, deadline, moved, left);
+    // A call to a plain service cannot be moved: it gets the time that is left.
+    auto lastMoment = deadline - lastMessagesTime;
+    std::unique_lock lock(m_mutex);
+    m_idle.wait_until(lock, lastMoment, [this] { return m_plainCalls.empty(); });
+    lock.unlock();
+    giveUpPlainCalls();
+}
+
+void RequestServer::giveUpPlainCalls()
+{
+    std::lock_guard lock(m_mutex);
+    for (const auto& [id, call] : m_plainCalls)
+        call->giveUp();
+}
+
+bool RequestServer::waitIdle(Milliseconds limit, const std::function<bool()>& interrupted)
+{
+    static constexpr Milliseconds poll { 50 };
+    auto deadline = steadyNow() + limit;
+    while (m_table.runningCount() > 0) {
+        if (steadyNow() >= deadline || (interrupted && interrupted()))
+            return false;
+        std::this_thread::sleep_for(poll);
+    }
+    return true;
+}
+
+std::vector<std::string> RequestServer::movedTo(const std::string& requestId) const
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_movedTo.find(requestId);
+    return it == m_movedTo.end() ? std::vector<std::string>() : it->second;
+}
+
+HandoverReplyMessage RequestServer::adopt(const RequestBatchMessage& batch)
+{
+    if (m_leaving)
+        return { .accepted = false, .reason = "this node is leaving itself" };
+    if (m_table.runningCount() + batch.requests.size() > m_options.hardMaximumActive)
+        return { .accepted = false, .reason = "this node runs as many requests as it may" };
+    for (const auto& it : batch.requests) {
+        auto request = std::make_shared<ActiveRequest>(it);
+        m_ledgers.setHolder(it.description.id, m_options.node, m_options.incarnation);
+        if (!m_table.add(request))
+            continue;
+        request->trace(m_options.node, "taken_over", "from " + batch.giverNode + " at offset " + std::to_string(it.text.size()));
+        if (it.outcome == RequestOutcome::Running)
+            startThread(request);
+    }
+    logEvent(LogLevel::Info, "requests_taken_over", { { "from", batch.giverNode }, { "count", batch.requests.size() } });
+    return { .accepted = true, .reason = {} };
+}
+
+std::optional<Frame> RequestServer::handlePeerFrame(const Frame& frame)
+{
+    auto malformed = [](const Error& error) { return Frame { .type = MessageType::Error, .payload = error.message }; };
+    HandoverReplyMessage reply;
+    if (frame.type == MessageType::LedgerOffer) {
+        auto offer = unpackMessage<LedgerOfferMessage>(frame.type, frame);
+        if (!offer)
+            return malformed(offer.error());
+        std::shared_lock acceptanceLock(m_acceptance);
+        reply.accepted = !m_leaving;
+        reply.reason = m_leaving ? "this node is leaving itself" : "";
+        if (reply.accepted) {
+            auto adopted = m_ledgers.adopt(offer.value());
+            reply.accepted = adopted.has_value();
+            reply.reason = adopted ? std::string() : adopted.error().message;
+        }
+        // The receiver knows for certain that it has the ledger, so it says so as well.
+        if (reply.accepted)
+            m_membership.announceSuccession({ .fromNode = offer.value().homeNode, .fromIncarnation = offer.value().homeIncarnation, .toNode = m_options.node, .toIncarnation = m_options.incarnation, .generation = offer.value().generation });
+        return packMessage(MessageType::HandoverReply, reply);
+    }
+    if (frame.type == MessageType::RequestBatch) {
+        auto batch = unpackMessage<RequestBatchMessage>(frame.type, frame);
+        if (!batch)
+            return malformed(batch.error());
+        return packMessage(MessageType::HandoverReply, adopt(batch.value()));
+    }
+    if (frame.type == MessageType::LedgerUpdate) {
+        auto update = unpackMessage<LedgerUpdateMessage>(frame.type, frame);
+        if (!update)
+            return malformed(update.error());
+        m_ledgers.applyUpdate(update.value());
+        reply.accepted = true;
+        return packMessage(MessageType::HandoverReply, reply);
+    }
+    return std::nullopt;
+}
+
+} // namespace Onyxnotch
--- /dev/null
+++ b/modules/placement/lease.cpp
@@ -0,0 +1,103 @@
+#include "modules/placement/lease.h"
+
+#include "core/json_decode.h"
+
+namespace Onyxnotch {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    Milliseconds scaled(Milliseconds duration, double factor)
+    {
+        return Milliseconds(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+    }
+
+} // namespace
+
+std::string leaseToJson(const LeaseRecord& record)
+{
+    return Json { { "holder", record.holder }, { "fence", record.fence }, { "renewals", record.renewals } }.dump();
+}
+
+Result<LeaseRecord> leaseFromJson(const std::string& text)
+{
+    return decodeJson<LeaseRecord>(text, ErrorCode::InvalidArgument, "lease", [](const Json& document) {
+        return LeaseRecord { .holder = document.at("holder"), .fence = document.at("fence"), .renewals = document.at("renewals") };
+    });
+}
+
+LeaseMachine::LeaseMachine(std::string self, const LeaseOptions& options)
+    : m_self(std::move(self))
+    , m_options(options)
+{
+}
+
+void LeaseMachine::observe(const std::optional<LeaseRecord>& record, std::uint64_t version, SteadyTime readSentAt, SteadyTime now)
+{
+    bool changed = !m_observed || version != m_version || record.has_value() != m_record.has_value();
+    if (changed)
+        m_unchangedSince = now;
+    m_observed = true;
+    m_record = record;
+    m_version = version;
+    bool ours = record && record->holder == m_self;
+    if (!ours) {
+        m_held = false;
+        return;
+    }
+    // A write of ours whose answer was lost: it was carried out some time before this read was sent, we cannot tell when, so only
+    // the next renewal counts.
+    if (!m_held) {
+        m_fence = record->fence;
+        m_takenAt = readSentAt;
+    }
+}
+
+std::optional<LeaseWrite> LeaseMachine::next(SteadyTime now) const
+{
+    if (!m_observed)
+        return std::nullopt;
+    if (!m_record)
+        return LeaseWrite { .kind = LeaseWriteKind::Create, .version = 0, .record = { .holder = m_self, .fence = 1, .renewals = 0 } };
+    LeaseWrite write { .kind = LeaseWriteKind::Update, .version = m_version, .record = *m_record };
+    if (m_record->holder == m_self) {
+        bool due = !m_held || now - m_renewedAt >= m_options.renewEvery;
+        if (!due)
+            return std::nullopt;
+        ++write.record.renewals;
+        return write;
+    }
+    bool released = m_record->holder.empty();
+    bool lapsed = now - m_unchangedSince >= scaled(m_options.duration, 1 + m_options.clockRateBound);
+    if (!released && !lapsed)
+        return std::nullopt;
+    write.record = { .holder = m_self, .fence = m_record->fence + 1, .renewals = 0 };
+    return write;
+}
+
+void LeaseMachine::written(const LeaseWrite& write, std::uint64_t newVersion, SteadyTime sentAt)
+{
+    if (!m_held || write.record.fence != m_fence)
+        m_takenAt = sentAt;
+    m_record = write.record;
+    m_version = newVersion;
+    m_fence = write.record.fence;
+    m_renewedAt = sentAt;
+    m_unchangedSince = sentAt;
+    m_held = write.record.holder == m_self;
+}
+
+void LeaseMachine::forget() { m_observed = false; }
+
+bool LeaseMachine::holds(SteadyTime now) const { return left(now).count() > 0; }
+
+Milliseconds LeaseMachine::left(SteadyTime now) const
+{
+    if (!m_held)
+        return Milliseconds(0);
+    auto end = m_renewedAt + scaled(m_options.duration, 1 - m_options.clockRateBound);
+    return now >= end ? Milliseconds(0) : toMilliseconds(end - now);
+}
+
+} // namespace Onyxnotch
--- /dev/null
+++ b/modules/placement/lease_keeper.cpp
@@ -0,0 +1,103 @@
+#include "modules/placement/lease_keeper.h"
+
+#include "core/log.h"
+
+namespace Onyxnotch {
+
+LeaseKeeper::LeaseKeeper(const ObjectClient& objects, const std::string& name, std::string self, const LeaseOptions& options)
+    : m_objects(objects)
+    , m_key("leases/" + name)
+    , m_options(options)
+    , m_machine(std::move(self), options)
+{
+}
+
+bool LeaseKeeper::step(bool mayTake)
+{
+    std::lock_guard lock(m_mutex);
+    auto now = steadyNow();
+    auto wanted = m_known ? m_machine.next(now) : std::nullopt;
+    bool renews = wanted && m_machine.holds(now);
+    if (wanted && (renews || mayTake))
+        write(*wanted);
+    else if (!m_known || (!m_machine.holds(now) && now >= m_nextRead))
+        read();
+    return m_machine.holds(steadyNow());
+}
+
+void LeaseKeeper::read()
+{
+    auto sentAt = steadyNow();
+    m_nextRead = sentAt + m_options.renewEvery / 3;
+    auto object = m_objects.get(m_key);
+    if (!object)
+        return;
+    std::optional<LeaseRecord> record;
+    std::uint64_t version = 0;
+    if (object.value()) {
+        auto parsed = leaseFromJson(object.value()->value);
+        if (!parsed)
+            return;
+        record = parsed.value();
+        version = object.value()->version;
+    }
+    m_machine.observe(record, version, sentAt, steadyNow());
+    m_known = true;
+}
+
+void LeaseKeeper::write(const LeaseWrite& wanted)
+{
+    auto heldBefore = m_machine.holds(steadyNow());
+    auto sentAt = steadyNow();
+    auto text = leaseToJson(wanted.record);
+    auto version = wanted.kind == LeaseWriteKind::Create ? m_objects.create(m_key, text) : m_objects.update(m_key, text, wanted.version);
+    if (!version) {
+        m_machine.forget();
+        m_known = false;
+        return;
+    }
+    m_machine.written(wanted, version.value(), sentAt);
+    if (!heldBefore)
+        logEvent(LogLevel::Info, "lease_taken", { { "lease", m_key }, { "fence", wanted.record.fence } });
+}
+
+void LeaseKeeper::release()
+{
+    std::lock_guard lock(m_mutex);
+    if (!m_machine.holds(steadyNow()))
+        return;
+    auto object = m_objects.get(m_key);
+    if (!object || !object.value())
+        return;
+    auto record = leaseFromJson(object.value()->value);
+    if (!record || record.value().fence != m_machine.fence())
+        return;
+    LeaseWrite wanted { .kind = LeaseWriteKind::Update, .version = object.value()->version, .record = { .holder = {}, .fence = record.value().fence, .renewals = 0 } };
+    write(wanted);
+}
+
+bool LeaseKeeper::holds() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_machine.holds(steadyNow());
+}
+
+Milliseconds LeaseKeeper::left() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_machine.left(steadyNow());
+}
+
+std::uint64_t LeaseKeeper::fence() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_machine.fence();
+}
+
+SteadyTime LeaseKeeper::takenAt() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_machine.takenAt();
+}
+
+} // namespace Onyxnotch
--- /dev/null
+++ b/modules/request/endpoint_directory.h
@@ -0,0 +1,50 @@
+// Which endpoints can be given work for a service now: the shared state, the leaving marks and the load, seen together.
+#pragma once
+
+#include "modules/replica/state_replica.h"
+#include "modules/routing/load_tracker.h"
+#include "servers/membership/membership_server.h"
+#include <optional>
+#include <set>
+
+namespace Onyxnotch {
+
+// The model version and adapter that serve a service, and what it promises.
+struct ServedModel {
+    std::string model {};
+    std::string adapter {};
+    Objective objective {};
+
+    bool operator==(const ServedModel&) const = default;
+};
+
+class EndpointDirectory {
+public:
+    EndpointDirectory(const StateReplica&, const MembershipServer&, LoadTracker&, const RouteOptions&);
+
+    // The endpoints that serve the service's model version, without leaving ones and those in `excluded`.
+    std::vector<RouteCandidate> candidates(const std::string& service, std::uint64_t prefixHash, const std::set<std::string>& excluded) const;
+    // Of those the one that routing chooses, with the reason.
+    RouteDecision choose(const std::vector<RouteCandidate>&, const RouteRequest&) const;
+    // Fixed endpoints of a plain service that are not leaving.
+    std::vector<PlainEndpoint> plainEndpoints(const std::string& service) const;
+
+    // By a mark of any source, or an operator's Drain object.
+    bool isLeaving(const std::string& endpoint) const;
+    // When it ends; empty where that is not known.
+    std::optional<Milliseconds> timeLeft(const std::string& endpoint) const;
+    std::optional<Endpoint> find(const std::string& endpoint) const;
+    std::vector<Endpoint> all() const;
+    // What a model service is served by; empty for none.
+    std::optional<ServedModel> servedModel(const std::string& service) const;
+
+    LoadTracker& loads() const { return m_loads; }
+
+private:
+    const StateReplica& m_replica;
+    const MembershipServer& m_membership;
+    LoadTracker& m_loads;
+    RouteOptions m_options;
+};
+
+} // namespace Onyxnotch
--- /dev/null
+++ b/modules/request/plain_call.cpp
@@ -0,0 +1,120 @@
+#include "modules/request/plain_call.h"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+
+namespace Onyxnotch {
+
+namespace {
+
+    constexpr int serviceUnavailable = 503;
+    // With status 503: the endpoint's positive word that it has not started the call.
+    constexpr auto notStartedHeader = "onyxnotch-not-started";
+
+} // namespace
+
+PlainCall::PlainCall(const PlainCallOptions& options, const EndpointDirectory& directory, RetryBudget& retries, Metrics& metrics)
+    : m_options(options)
+    , m_directory(directory)
+    , m_retries(retries)
+    , m_metrics(metrics)
+{
+}
+
+PlainAnswer PlainCall::run(const PlainRequest& request, SteadyTime deadline)
+{
+    std::set<std::string> tried;
+    auto backoff = m_options.firstBackoff;
+    bool mayHaveRun = false;
+    std::string reason = "no endpoint of the service takes work";
+    for (unsigned attempt = 0; attempt < m_options.maximumAttempts; ++attempt) {
+        if (steadyNow() >= deadline) {
+            reason = "deadline passed";
+            break;
+        }
+        auto endpoints = m_directory.plainEndpoints(request.service);
+        std::erase_if(endpoints, [&](const PlainEndpoint& it) { return tried.contains(it.id); });
+        if (endpoints.empty())
+            break;
+        if (attempt > 0) {
+            if (!m_retries.takeRetry()) {
+                reason = "the retry budget of this node is used up";
+                break;
+            }
+            std::this_thread::sleep_for(backoff);
+            backoff *= 2;
+        }
+        // The one with the fewest calls of this node.
+        auto load = [this](const PlainEndpoint& it) { return m_directory.loads().load(it.id, 0).ownInFlight; };
+        auto chosen = *std::min_element(endpoints.begin(), endpoints.end(), [&](const auto& left, const auto& right) { return load(left) < load(right); });
+        tried.insert(chosen.id);
+        auto inFlight = m_directory.loads().begin(chosen.id, 0, 0);
+        auto answer = tryEndpoint(request, chosen, deadline);
+        if (!answer) {
+            reason = "no endpoint could be reached";
+            continue;
+        }
+        if (answer->outcome != RequestOutcome::Unknown || !request.repeatable || m_givenUp)
+            return *answer;
+        mayHaveRun = true;
+        reason = answer->reason;
+    }
+    return { .outcome = mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun, .reason = reason };
+}
+
+std::optional<PlainAnswer> PlainCall::tryEndpoint(const PlainRequest& request, const PlainEndpoint& endpoint, SteadyTime deadline)
+{
+    HttpStream stream(endpoint.address);
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_givenUp)
+            return std::nullopt;
+        m_stream = &stream;
+    }
+    auto left = std::max(Milliseconds(1), toMilliseconds(deadline - steadyNow()));
+    HttpCall call {
+        .method = request.method,
+        .path = request.path,
+        .headers = { { "Idempotency-Key", request.id } },
+        .body = request.body,
+        .contentType = request.contentType,
+        .readTimeout = std::min(m_options.silenceLimit, left),
+    };
+    PlainAnswer answer { .outcome = RequestOutcome::Completed };
+    bool notStarted = false;
+    bool tooLarge = false;
+    auto onHeaders = [&](const HttpReply& reply) {
+        answer.httpStatus = reply.status;
+        answer.contentType = reply.header("content-type");
+        notStarted = reply.status == serviceUnavailable && !reply.header(notStartedHeader).empty();
+        return true;
+    };
+    auto onData = [&](std::string_view data) {
+        answer.body.append(data);
+        tooLarge = answer.body.size() > m_options.maximumAnswerBytes;
+        return !tooLarge;
+    };
+    auto result = stream.run(call, onHeaders, onData);
+    {
+        std::lock_guard lock(m_mutex);
+        m_stream = nullptr;
+    }
+    m_metrics.increment("onyxnotch_plain_attempts_total", { { "service", request.service }, { "result", result ? "ok" : "error" } });
+    if (result && !notStarted)
+        return answer;
+    if (notStarted || (!result && result.error().code == ErrorCode::Unavailable))
+        return std::nullopt;
+    auto reason = tooLarge ? std::string("the answer is larger than the limit") : result.error().message;
+    return PlainAnswer { .outcome = RequestOutcome::Unknown, .reason = reason };
+}
+
+void PlainCall::giveUp()
+{
+    std::lock_guard lock(m_mutex);
+    m_givenUp = true;
+    if (m_stream)
+        m_stream->cancel();
+}
+
+} // namespace Onyxnotch
--- /dev/null
+++ b/modules/routing/load_tracker.cpp
@@ -0,0 +1,91 @@
+#include "modules/routing/load_tracker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Onyxnotch {
+
+LoadTracker::InFlight::InFlight(LoadTracker& tracker, std::string endpoint)
+    : m_tracker(&tracker)
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+LoadTracker::InFlight::~InFlight() { release(); }
+
+LoadTracker::InFlight::InFlight(InFlight&& other) noexcept
+    : m_tracker(std::exchange(other.m_tracker, nullptr))
+    , m_endpoint(std::move(other.m_endpoint))
+{
+}
+
+LoadTracker::InFlight& LoadTracker::InFlight::operator=(InFlight&& other) noexcept
+{
+    if (this == &other)
+        return *this;
+    release();
+    m_tracker = std::exchange(other.m_tracker, nullptr);
+    m_endpoint = std::move(other.m_endpoint);
+    return *this;
+}
+
+void LoadTracker::InFlight::release()
+{
+    if (m_tracker)
+        m_tracker->end(m_endpoint);
+    m_tracker = nullptr;
+}
+
+LoadTracker::InFlight LoadTracker::begin(const std::string& endpoint, std::uint64_t prefixHash, unsigned prefixTokens)
+{
+    std::lock_guard lock(m_mutex);
+    auto& entry = m_entries[endpoint];
+    ++entry.load.ownInFlight;
+    ++entry.load.startedSinceReport;
+    entry.prefixes.remove_if([&](const auto& it) { return it.first == prefixHash; });
+    entry.prefixes.emplace_front(prefixHash, prefixTokens);
+    if (entry.prefixes.size() > maximumPrefixes)
+        entry.prefixes.pop_back();
+    return { *this, endpoint };
+}
+
+void LoadTracker::end(const std::string& endpoint)
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_entries.find(endpoint);
+    if (it != m_entries.end() && it->second.load.ownInFlight > 0)
+        --it->second.load.ownInFlight;
+}
+
+void LoadTracker::report(const std::string& endpoint, const EngineLoad& report)
+{
+    std::lock_guard lock(m_mutex);
+    auto& load = m_entries[endpoint].load;
+    load.reportedRunning = report.running;
+    load.reportedQueued = report.queued;
+    load.startedSinceReport = 0;
+}
+
+EndpointLoad LoadTracker::load(const std::string& endpoint, std::uint64_t prefixHash) const
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_entries.find(endpoint);
+    if (it == m_entries.end())
+        return {};
+    auto load = it->second.load;
+    for (const auto& [hash, tokens] : it->second.prefixes) {
+        if (hash == prefixHash)
+            load.cachedPrefixTokens = tokens;
+    }
+    return load;
+}
+
+void LoadTracker::forget(const std::string& endpoint)
+{
+    std::lock_guard lock(m_mutex);
+    auto it = m_entries.find(endpoint);
+    if (it != m_entries.end() && it->second.load.ownInFlight == 0)
+        m_entries.erase(it);
+}
+
+} // namespace Onyxnotch
--- /dev/null
+++ b/modules/routing/route.h
@@ -0,0 +1,62 @@
+// Chooses an endpoint for one request: a pure function of what is known, with its reason.
+#pragma once
+
+#include "core/clock.h"
+#include "modules/declaration/declared_object.h"
+#include "modules/replica/endpoint_catalog.h"
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Onyxnotch {
+
+// What this node knows of an endpoint's load.
+struct EndpointLoad {
+    unsigned reportedRunning { 0 };
+    unsigned reportedQueued { 0 };
+    unsigned startedSinceReport { 0 }; // By this node, so not yet in the report.
+    unsigned ownInFlight { 0 };
+    unsigned cachedPrefixTokens { 0 }; // Of this request's prompt, as far as this node can tell.
+
+    bool operator==(const EndpointLoad&) const = default;
+};
+
+struct RouteCandidate {
+    Endpoint endpoint;
+    EndpointLoad load;
+
+    bool operator==(const RouteCandidate&) const = default;
+};
+
+struct RouteRequest {
+    unsigned promptTokens { 0 };
+    unsigned expectedTokens { 0 }; // Still to be generated.
+    Objective objective {};
+
+    bool operator==(const RouteRequest&) const = default;
+};
+
+// The model of an engine's costs that the estimates use.
+struct RouteOptions {
+    double prefillTokensPerSecond { 8000 };
+    unsigned batchSlots { 32 }; // Streams that an engine runs at once; more wait.
+    double slotTurnSeconds { 2 }; // How soon a slot comes free when all are taken, divided by the slots.
+    double reclaimsPerHour { 0.5 }; // Of one reclaimable instance.
+    double tokenSeconds { 0.03 }; // Between two tokens of a stream.
+    double recomputeWeight { 1 }; // What a second of lost work counts against a second of the instance's price.
+};
+
+struct RouteDecision {
+    std::optional<std::size_t> candidate {}; // Index into the candidates.
+    double expectedFirstTokenSeconds { 0 };
+    std::string reason {};
+};
+
+// Expected time to the first token at a candidate.
+double expectedFirstTokenSeconds(const RouteCandidate&, const RouteRequest&, const RouteOptions&);
+
+// Of the candidates that are expected to meet the objective, the one that costs least: its price for the time of the request, and the
+// work that a reclaim would lose. Where none meets it, the fastest.
+RouteDecision chooseEndpoint(const std::vector<RouteCandidate>&, const RouteRequest&, const RouteOptions&);
+
+} // namespace Onyxnotch
