--- /dev/null
+++ b/main/operator_commands.cpp
@@ -0,0 +1,283 @@
+#include "main/operator_commands.h"
+
+#include "core/digest.h"
+#include "core/file.h"
+#include "core/json_schema.h"
+#include "core/net/http_client.h"
+#include "modules/client/client.h"
+#include "modules/declaration/configuration_store.h"
+#include "modules/placement/placement_plan.h"
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace Onyxnotch {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr unsigned operationIdBytes = 16;
+    constexpr unsigned watchWaitMilliseconds = 5000;
+
+    ExitCode exitCodeOf(const Error& error)
+    {
+        switch (error.code) {
+        case ErrorCode::InvalidArgument:
+            return ExitCode::Refused;
+        case ErrorCode::Conflict:
+            return ExitCode::Conflict;
+        case ErrorCode::Unavailable:
+        case ErrorCode::Exhausted:
+            return ExitCode::Unavailable;
+        case ErrorCode::Ambiguous:
+            return ExitCode::Unknown;
+        case ErrorCode::NotFound:
+        case ErrorCode::Unauthorized:
+        case ErrorCode::Stopped:
+            return ExitCode::Failed;
+        }
+        return ExitCode::Failed;
+    }
+
+    ExitCode fail(const Error& error)
+    {
+        std::cerr << error.message << std::endl;
+        return exitCodeOf(error);
+    }
+
+    ExitCode exitCodeOf(RequestOutcome outcome)
+    {
+        switch (outcome) {
+        case RequestOutcome::Completed:
+            return ExitCode::Success;
+        case RequestOutcome::NotRun:
+            return ExitCode::Unavailable;
+        case RequestOutcome::Running:
+        case RequestOutcome::Unknown:
+            return ExitCode::Unknown;
+        case RequestOutcome::Failed:
+            return ExitCode::Failed;
+        }
+        return ExitCode::Failed;
+    }
+
+    std::string describe(const std::string& path, const std::vector<DeclarationProblem>& problems)
+    {
+        std::string text;
+        for (const auto& it : problems)
+            text += (text.empty() ? "" : "\n") + path + ": " + (it.pointer.empty() ? "/" : it.pointer) + ": " + it.reason;
+        return text;
+    }
+
+    // The file's objects. Errors: InvalidArgument with every problem, a line each.
+    Result<Declaration> loadDeclaration(const std::string& path)
+    {
+        BOOST_OUTCOME_TRY(text, readFile(path));
+        auto document = parseJson(text);
+        if (!document)
+            return Error { ErrorCode::InvalidArgument, path + ": /: " + document.error().message };
+        std::vector<DeclarationProblem> problems;
+        auto declaration = readDeclaration(document.value(), problems);
+        if (!problems.empty())
+            return Error { ErrorCode::InvalidArgument, describe(path, problems) };
+        return declaration;
+    }
+
+    // The change that brings the declaration into a configuration; objects that are the same already are left out.
+    Result<ConfigurationChange> changeFor(const std::string& path, const Declaration& declaration, const Configuration& current)
+    {
+        ConfigurationChange change { .version = current.version() + 1 };
+        for (const auto& it : declaration.objects) {
+            const auto* known = current.find(it.name);
+            if (!known || known->spec != it.spec || known->labels != it.labels)
+                change.upserts.push_back(it);
+        }
+        BOOST_OUTCOME_TRY(result, current.with(change));
+        auto problems = checkRules(result, declaration);
+        if (!problems.empty())
+            return Error { ErrorCode::InvalidArgument, describe(path, problems) };
+        return change;
+    }
+
+    ExitCode commit(const Address& objects, std::uint64_t base, const ConfigurationStore::ChangeBuilder& build)
+    {
+        ObjectClient client({ .address = objects });
+        auto result = ConfigurationStore(client).commit(randomHex(operationIdBytes), base, build);
+        if (!result)
+            return fail(result.error());
+        std::cout << "version " << result.value().version << std::endl;
+        return ExitCode::Success;
+    }
+
+    // The first gateway's JSON answer.
+    Result<Json> askGateways(const std::vector<Address>& gateways, const std::string& key, const std::string& path)
+    {
+        Error last { ErrorCode::Unavailable, "no gateway was named" };
+        for (const auto& it : gateways) {
+            auto reply = sendHttp(it, { .path = path, .headers = { { "Authorization", "Bearer " + key } } });
+            if (reply && reply.value().ok())
+                return parseJson(reply.value().body);
+            last = reply ? Error { ErrorCode::NotFound, it.text() + ": HTTP " + std::to_string(reply.value().status) + " " + reply.value().body } : reply.error();
+        }
+        return last;
+    }
+
+    void printAnswer(const ClientAnswer& answer)
+    {
+        std::cerr << Json { { "outcome", toString(answer.outcome) }, { "request_id", answer.requestId }, { "reason", answer.reason }, { "tries", answer.tries }, { "moves", answer.moves } }.dump() << std::endl;
+    }
+
+} // namespace
+
+ExitCode checkDeclaration(const std::string& path, const Address& objects)
+{
+    auto declaration = loadDeclaration(path);
+    if (!declaration)
+        return fail(declaration.error());
+    Configuration current;
+    if (!objects.empty()) {
+        ObjectClient client({ .address = objects });
+        auto loaded = ConfigurationStore(client).load();
+        if (!loaded)
+            return fail(loaded.error());
+        current = loaded.value();
+    }
+    auto change = changeFor(path, declaration.value(), current);
+    if (!change)
+        return fail(change.error());
+    std::cout << path << ": valid, " << change.value().upserts.size() << " objects would change" << std::endl;
+    return ExitCode::Success;
+}
+
+ExitCode applyDeclaration(const std::string& path, const Address& objects, std::uint64_t base)
+{
+    auto declaration = loadDeclaration(path);
+    if (!declaration)
+        return fail(declaration.error());
+    return commit(objects, base, [&](const Configuration& current) { return changeFor(path, declaration.value(), current); });
+}
+
+ExitCode deleteObject(const std::string& kind, const std::string& name, const Address& objects)
+{
+    auto parsed = parseObjectKind(kind);
+    if (!parsed)
+        return fail(parsed.error());
+    ObjectName object { .kind = parsed.value(), .name = name };
+    return commit(objects, 0, [&](const Configuration& current) -> Result<ConfigurationChange> {
+        if (!current.find(object))
+            return Error { ErrorCode::NotFound, object.text() + " does not exist" };
+        ConfigurationChange change { .version = current.version() + 1, .removals = { object } };
+        BOOST_OUTCOME_TRY(result, current.with(change));
+        auto problems = checkRules(result, {});
+        if (!problems.empty())
+            return Error { ErrorCode::InvalidArgument, describe(object.text(), problems) };
+        return change;
+    });
+}
+
+ExitCode drainInstance(const std::string& instance, const Address& objects)
+{
+    DeclaredObject object { .name = { .kind = ObjectKind::Drain, .name = instance }, .spec = DrainSpec { .instance = instance } };
+    return commit(objects, 0, [&](const Configuration& current) -> Result<ConfigurationChange> {
+        return ConfigurationChange { .version = current.version() + 1, .upserts = { object } };
+    });
+}
+
+ExitCode getObjects(const std::string& kind, const std::string& name, const Address& objects)
+{
+    ObjectClient client({ .address = objects });
+    auto configuration = ConfigurationStore(client).load();
+    if (!configuration)
+        return fail(configuration.error());
+    Json document { { "version", configuration.value().version() }, { "objects", Json::array() } };
+    for (const auto& [objectName, object] : configuration.value().objects()) {
+        bool wanted = (kind.empty() || toString(objectName.kind) == kind) && (name.empty() || objectName.name == name);
+        if (wanted)
+            document["objects"].push_back(objectToJson(object));
+    }
+    std::cout << document.dump(2) << std::endl;
+    return !name.empty() && document["objects"].empty() ? ExitCode::Failed : ExitCode::Success;
+}
+
+ExitCode watchConfiguration(const Address& objects, unsigned count)
+{
+    ObjectClient client({ .address = objects });
+    ConfigurationStore store(client);
+    auto loaded = store.load();
+    if (!loaded)
+        return fail(loaded.error());
+    auto version = loaded.value().version();
+    auto position = client.watch(std::string(ConfigurationStore::changePrefix), ~std::uint64_t(0), Milliseconds(0));
+    if (!position)
+        return fail(position.error());
+    auto revision = position.value().revision;
+    for (unsigned seen = 0; seen < count;) {
+        auto changes = store.changesAfter(version);
+        if (!changes)
+            return fail(changes.error());
+        for (const auto& it : changes.value()) {
+            std::cout << changeToJson(it).dump() << std::endl;
+            version = it.version;
+            ++seen;
+        }
+        auto batch = client.watch(std::string(ConfigurationStore::changePrefix), revision, Milliseconds(watchWaitMilliseconds));
+        if (!batch)
+            return fail(batch.error());
+        revision = batch.value().revision;
+    }
+    return ExitCode::Success;
+}
+
+ExitCode showStatus(const std::vector<Address>& gateways, const std::string& key, const Address& objects)
+{
+    auto status = askGateways(gateways, key, "/v1/status");
+    if (!status)
+        return fail(status.error());
+    if (!objects.empty()) {
+        ObjectClient client({ .address = objects });
+        auto plan = client.get("status/plan");
+        if (plan && plan.value()) {
+            auto parsed = planFromJson(plan.value()->value);
+            if (parsed)
+                status.value()["plan"] = planToJson(parsed.value());
+        }
+    }
+    std::cout << status.value().dump(2) << std::endl;
+    return ExitCode::Success;
+}
+
+ExitCode explainRequest(const std::vector<Address>& gateways, const std::string& key, const std::string& requestId)
+{
+    auto explanation = askGateways(gateways, key, "/v1/explain/" + requestId);
+    if (!explanation)
+        return fail(explanation.error());
+    std::cout << explanation.value().dump(2) << std::endl;
+    return ExitCode::Success;
+}
+
+ExitCode callChat(const std::vector<Address>& gateways, const std::string& key, const std::string& service, const std::string& prompt, unsigned maximumTokens)
+{
+    Client client({ .addresses = gateways, .key = key });
+    auto refreshed = client.refreshAddresses();
+    if (!refreshed)
+        return fail(refreshed.error());
+    auto answer = client.chat({ .service = service, .prompt = prompt, .maximumTokens = maximumTokens }, [](const std::string& text) { std::cout << text << std::flush; });
+    std::cout << std::endl;
+    printAnswer(answer);
+    return exitCodeOf(answer.outcome);
+}
+
+ExitCode callPlain(const std::vector<Address>& gateways, const std::string& key, const std::string& service, const std::string& path, const std::string& body, bool once)
+{
+    Client client({ .addresses = gateways, .key = key });
+    auto refreshed = client.refreshAddresses(once ? 1 : 0);
+    if (!refreshed)
+        return fail(refreshed.error());
+    auto answer = client.call(service, path, body, !once);
+    std::cout << answer.text << std::endl;
+    printAnswer(answer);
+    return exitCodeOf(answer.outcome);
+}
+
+} // namespace Onyxnotch
