--- /dev/null
+++ b/tests/fakes/plain_service.cpp
@@ -0,0 +1,76 @@
+// Stand-in of a plain service. It counts how often each request id ran.
+#include "tests/fakes/fake_program.h"
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
+namespace {
+
+using namespace Onyxnotch;
+using namespace Onyxnotch::Fakes;
+
+constexpr auto usage = R"(Usage: onyxnotch-fake-plain-service [--port PORT]
+
+Options:
+  --port PORT  Port [default: 0].
+)";
+
+class PlainService {
+public:
+    void addRoutes(HttpServer& server)
+    {
+        server.route("GET", "/control/runs", [this](const HttpRequest&) { return runs(); });
+        // {"hold":true}: calls wait until it is taken back. {"refuse":true}: calls are refused as not started.
+        server.route("POST", "/control", [this](const HttpRequest& it) { return control(bodyOf(it)); });
+        server.route("POST", "/.*", [this](const HttpRequest& it) { return run(it); });
+    }
+
+private:
+    HttpResponse run(const HttpRequest& request)
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_refuse) {
+            auto refused = reply(503, { { "error", "not now" } });
+            refused.headers.emplace("Onyxnotch-Not-Started", "1");
+            return refused;
+        }
+        auto id = request.header("idempotency-key");
+        auto count = ++m_runs[id];
+        m_changed.notify_all();
+        m_changed.wait(lock, [this] { return !m_hold; });
+        return reply(200, { { "ran", count }, { "path", request.path }, { "body", request.body } });
+    }
+
+    HttpResponse control(const Json& wish)
+    {
+        std::lock_guard lock(m_mutex);
+        m_hold = wish.value("hold", m_hold);
+        m_refuse = wish.value("refuse", m_refuse);
+        m_changed.notify_all();
+        return reply(200, wish);
+    }
+
+    HttpResponse runs()
+    {
+        std::lock_guard lock(m_mutex);
+        return reply(200, m_runs);
+    }
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, long> m_runs;
+    bool m_hold { false };
+    bool m_refuse { false };
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CommandLine arguments(usage, argc, argv);
+    StopSignal signal;
+    HttpServer server({ .port = static_cast<std::uint16_t>(std::stoi(arguments.text("--port"))), .threads = 128 });
+    PlainService service;
+    service.addRoutes(server);
+    return serve(server, signal);
+}
