--- a/modules/request/ledger.h
+++ b/modules/request/ledger.h
@@ -89,7 +89,7 @@
     std::size_t size() const { return m_entries.size(); }
 
 private:
-    LedgerOptions m_options;
+    LedgerOptions m_options {};
     bool m_given { false };
     std::uint64_t m_floor { 0 }; // Tickets with a sequence up to this that are not entered are burned.
     std::map<std::string, LedgerEntry> m_entries {};
--- a/modules/request/ledger_book.h
+++ b/modules/request/ledger_book.h
@@ -18,7 +18,7 @@
     std::uint32_t generation { 1 };
     std::string ticketKey {};
     std::uint64_t giverNow { 0 }; // The giver's reading of this ledger's clock.
-    LedgerContent content;
+    LedgerContent content {};
 
     template <class Archive>
     void serialize(Archive& archive)
@@ -40,7 +40,7 @@
 struct LedgerBookOptions {
     std::string node {};
     std::uint64_t incarnation { 0 };
-    LedgerOptions ledger;
+    LedgerOptions ledger {};
     Milliseconds ticketLifetime { 60000 };
     std::size_t maximumAdoptedLedgers { 64 };
 };
--- /dev/null
+++ b/tests/core/net/test_server_sent_events.cpp
@@ -0,0 +1,38 @@
+#include "core/net/server_sent_events.h"
+#include "tests/property.h"
+#include <vector>
+
+using namespace Onyxnotch;
+
+BOOST_AUTO_TEST_SUITE(ServerSentEvents)
+
+BOOST_AUTO_TEST_CASE(events_come_back_whatever_the_pieces)
+{
+    Tests::checkProperty("write and parse in pieces", [](const std::vector<unsigned char>& cuts) {
+        std::vector<ServerSentEvent> events { { .id = "a:1", .name = {}, .data = "one" }, { .id = {}, .name = "n", .data = "two\nlines" } };
+        auto text = writeServerSentEvent(events[0]) + ": comment\n\n" + writeServerSentEvent(events[1]);
+        std::vector<ServerSentEvent> seen;
+        ServerSentEventParser parser([&](const ServerSentEvent& it) {
+            seen.push_back(it);
+            return true;
+        });
+        std::size_t at = 0;
+        for (auto cut : cuts) {
+            auto size = std::min<std::size_t>(cut % 7, text.size() - at);
+            RC_ASSERT(parser.feed(text.substr(at, size)));
+            at += size;
+        }
+        RC_ASSERT(parser.feed(text.substr(at)));
+        RC_ASSERT(seen == events);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(an_event_without_its_end_is_not_reported)
+{
+    unsigned seen = 0;
+    ServerSentEventParser parser([&](const ServerSentEvent&) { return ++seen > 0; });
+    BOOST_CHECK(parser.feed("data: whole\n\ndata: half"));
+    BOOST_CHECK_EQUAL(seen, 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fakes/expected_answer.h
+++ b/tests/fakes/expected_answer.h
@@ -15,7 +15,7 @@
 
 inline std::string expectedAnswer(const std::string& prompt, unsigned tokens)
 {
-    std::string text;
+    std::string text {};
     for (unsigned n = 0; n < tokens; ++n)
         text += answerToken(prompt, n);
     return text;
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -102,20 +102,20 @@
     Json nodeSettings(const std::string& instance, const std::string& zone) const;
 
     ClusterOptions m_options;
-    std::string m_folder;
-    std::vector<std::unique_ptr<Process>> m_platform;
-    Address m_objects;
-    Address m_cloud;
-    Address m_list;
-    Address m_weights;
-    Address m_proxy;
-    Address m_service;
+    std::string m_folder {};
+    std::vector<std::unique_ptr<Process>> m_platform {};
+    Address m_objects {};
+    Address m_cloud {};
+    Address m_list {};
+    Address m_weights {};
+    Address m_proxy {};
+    Address m_service {};
     Forward m_serviceForward;
     std::unique_ptr<Process> m_plainService;
-    std::vector<EngineProcess> m_engines;
-    std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
-    std::vector<std::unique_ptr<Process>> m_controllers;
-    std::vector<Address> m_peers;
+    std::vector<EngineProcess> m_engines {};
+    std::vector<std::unique_ptr<GatewayProcess>> m_gateways {};
+    std::vector<std::unique_ptr<Process>> m_controllers {};
+    std::vector<Address> m_peers {};
 };
 
 } // namespace Onyxnotch::Tests
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -42,12 +42,12 @@
 private:
     void read(int descriptor);
 
-    std::string m_name;
+    std::string m_name {};
     pid_t m_pid { -1 };
-    std::optional<int> m_exitCode;
+    std::optional<int> m_exitCode {};
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::vector<std::string> m_lines;
+    std::vector<std::string> m_lines {};
     bool m_finishedReading { false };
     std::thread m_reader;
 };
