--- a/core/net/http_server.cpp
+++ b/core/net/http_server.cpp
@@ -12,6 +12,7 @@
     // Kept-alive connections that idle hold a thread each, so they are closed soon.
     constexpr time_t keepAliveSeconds = 2;
     constexpr std::size_t requestsPerConnection = 100000;
+    constexpr int listenBacklog = 1024;
 
     std::string lowerCase(std::string text)
     {
@@ -53,6 +54,7 @@
 struct HttpServer::Implementation {
     HttpServerOptions options;
     httplib::Server server;
+    socket_t socket { INVALID_SOCKET };
     std::thread acceptThread;
     Address bound;
 };
@@ -70,7 +72,8 @@
     server.set_write_timeout(options.writeTimeout);
     server.set_payload_max_length(options.maximumBodyBytes);
     // The library's default also sets SO_REUSEPORT, which would let two processes share a port unnoticed.
-    server.set_socket_options([](socket_t socket) {
+    server.set_socket_options([implementation = m_implementation.get()](socket_t socket) {
+        implementation->socket = socket;
         int enabled = 1;
         setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
     });
@@ -96,7 +99,8 @@
 
 Status HttpServer::start()
 {
-    auto& [options, server, acceptThread, bound] = *m_implementation;
+    auto& options = m_implementation->options;
+    auto& server = m_implementation->server;
     int port = options.port;
     if (port == 0)
         port = server.bind_to_any_port(options.host);
@@ -104,8 +108,10 @@
         port = -1;
     if (port <= 0)
         return Error { ErrorCode::Unavailable, "cannot listen on " + options.host + ":" + std::to_string(options.port) };
-    bound = Address { .host = options.host, .port = static_cast<std::uint16_t>(port) };
-    acceptThread = std::thread([implementation = m_implementation.get()] { implementation->server.listen_after_bind(); });
+    // The library listens with a backlog of 5, so that a burst of callers would wait a second for its SYN to be sent again.
+    ::listen(m_implementation->socket, listenBacklog);
+    m_implementation->bound = Address { .host = options.host, .port = static_cast<std::uint16_t>(port) };
+    m_implementation->acceptThread = std::thread([implementation = m_implementation.get()] { implementation->server.listen_after_bind(); });
     // stop() has no effect on a server that is not yet running.
     while (!server.is_running())
         std::this_thread::yield();
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -35,7 +35,10 @@
     }
     logEvent(LogLevel::Info, "listening", { { "http", daemon.httpAddress().text() }, { "peer", daemon.peerAddress().text() } });
     daemon.runUntilStopped(signal);
-    return static_cast<int>(ExitCode::Success);
+    logEvent(LogLevel::Info, "stopped");
+    // Everything that others need has been handed over. Destructors would only wait for long polls of the platform's services, and
+    // an instance on notice has no time for that.
+    std::_Exit(static_cast<int>(ExitCode::Success));
 }
 
 } // namespace Onyxnotch
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -61,6 +61,7 @@
         auto deadline = it->second.deadlineWallMilliseconds;
         noticeReclaim(deadline == 0 ? stopHandoverTime : Milliseconds(deadline > now ? deadline - now : 0));
     });
+    logEvent(LogLevel::Info, "http_bound", { { "http", m_http.address().text() } });
     auto port = m_options.advertisedHttpPort != 0 ? m_options.advertisedHttpPort : m_http.address().port;
     BOOST_OUTCOME_TRYV(m_node.start(port, [this](const Frame& frame) { return m_requests.handlePeerFrame(frame); }));
     m_requests.start();
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -4,6 +4,7 @@
 #include "core/net/http_client.h"
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 namespace Onyxnotch::Tests {
@@ -111,14 +112,17 @@
     settings["loadPeriodMs"] = 200;
     settings.merge_patch(m_options.gatewaySettings);
     if (m_options.gatewayProxies) {
+        gateway->httpForward = addForward("tcp");
         gateway->peerForward = addForward("tcp");
         gateway->gossipForward = addForward("udp");
-        settings["advertise"] = { { "peerPort", gateway->peerForward.address.port }, { "gossipPort", gateway->gossipForward.address.port } };
-        // The proxy needs to know the port before the process can take a free one: the process says it when it listens.
+        settings["advertise"] = { { "httpPort", gateway->httpForward.address.port }, { "peerPort", gateway->peerForward.address.port }, { "gossipPort", gateway->gossipForward.address.port } };
     }
     auto path = writeFile(instance + "-gateway-" + std::to_string(m_gateways.size()) + ".json", settings.dump(2));
     gateway->process = std::make_unique<Process>("onyxnotch-gateway", std::vector<std::string> { "--settings", path });
     if (m_options.gatewayProxies) {
+        // The process takes free ports and names them; only then can the proxy be told.
+        auto http = Json::parse(gateway->process->waitEvent("http_bound", Milliseconds(20000)).value_or("{}"), nullptr, false);
+        setFault(gateway->httpForward, { { "target", http.value("http", "") } });
         auto bound = gateway->process->waitEvent("bound", Milliseconds(20000));
         auto document = Json::parse(bound.value_or("{}"), nullptr, false);
         setFault(gateway->peerForward, { { "target", document.value("peer", "") } });
@@ -165,7 +169,10 @@
 
 bool Cluster::deploy(unsigned replicas)
 {
-    return apply(declaration(replicas)).exitCode == 0 && waitEndpoints(replicas);
+    auto applied = apply(declaration(replicas));
+    if (applied.exitCode != 0)
+        std::cerr << "apply: exit code " << applied.exitCode << ": " << applied.output << std::endl;
+    return applied.exitCode == 0 && waitEndpoints(replicas);
 }
 
 bool Cluster::waitEndpoints(unsigned count)
@@ -193,6 +200,14 @@
 
 Json Cluster::status(const GatewayProcess& gateway) const { return get(gateway.http, "/v1/status"); }
 
+bool Cluster::waitMemberState(const GatewayProcess& observer, const std::string& node, const std::string& state) const
+{
+    return waitUntil([&] {
+        auto members = status(observer).value("members", Json::array());
+        return std::any_of(members.begin(), members.end(), [&](const Json& it) { return it["node"] == node && it["state"] == state; });
+    });
+}
+
 double Cluster::metric(const GatewayProcess& gateway, const std::string& name) const
 {
     auto reply = sendHttp(gateway.http, { .path = "/metrics" });
@@ -233,6 +248,13 @@
     post(m_proxy, "/forwards/" + std::to_string(forward.id), fault);
 }
 
+void Cluster::cutOff(const GatewayProcess& gateway, bool cut) const
+{
+    setFault(gateway.httpForward, { { "refuse", cut } });
+    setFault(gateway.peerForward, { { "refuse", cut } });
+    setFault(gateway.gossipForward, { { "drop_up", cut } });
+}
+
 EngineProcess* Cluster::engineOf(const std::string& endpoint)
 {
     auto list = get(m_cloud, "/v1/instances");
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -19,7 +19,7 @@
     unsigned enginesPerZone { 1 };
     std::vector<std::string> engineArguments {};
     bool engineProxies { false }; // Put the fault proxy before each engine.
-    bool gatewayProxies { false }; // Put it before each gateway's peer and gossip ports.
+    bool gatewayProxies { false }; // Put it before each gateway's HTTP, peer and gossip ports.
     bool serviceProxy { false }; // Put it before the plain service.
     Json gatewaySettings = Json::object(); // Merged into each gateway's settings.
     Json controllerSettings = Json::object();
@@ -38,6 +38,7 @@
     std::unique_ptr<Process> process {};
     Address http {};
     Address peer {};
+    Forward httpForward {}; // What other nodes and callers are told.
     Forward peerForward {};
     Forward gossipForward {};
 };
@@ -74,12 +75,17 @@
 
     Client client(const std::string& key = teamKey) const;
     Json status(const GatewayProcess&) const;
+    // Waits until the gateway sees that node in that state ("alive", "suspect", "dead").
+    bool waitMemberState(const GatewayProcess& observer, const std::string& node, const std::string& state) const;
     // A metric's sum over its labels at a gateway.
     double metric(const GatewayProcess&, const std::string& name) const;
 
     Json get(const Address&, const std::string& path) const;
     Json post(const Address&, const std::string& path, const Json& body) const;
+    // Members that are not named go back to no fault; the target stays.
     void setFault(const Forward&, const Json& fault) const;
+    // Cuts a gateway off from everyone but those that talk to its own ports, or heals it.
+    void cutOff(const GatewayProcess&, bool cut) const;
     Forward addForward(const std::string& kind, const Address& target = {}) const;
 
     GatewayProcess& gateway(std::size_t n) { return *m_gateways.at(n); }
--- a/tests/property.h
+++ b/tests/property.h
@@ -13,7 +13,8 @@
     setenv("RC_PARAMS", "seed=20261202 max_success=300", 0);
 }
 
-template<typename Property> void checkProperty(const char* description, Property property)
+template <typename Property>
+void checkProperty(const char* description, Property property)
 {
     useFixedSeed();
     BOOST_TEST_MESSAGE("rapidcheck parameters: " << std::getenv("RC_PARAMS"));
