--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -84,6 +84,7 @@
         "periodMs": { "type": "integer", "minimum": 50, "default": 500, "description": "Time between two rounds." },
         "refusalMemoryMs": { "type": "integer", "minimum": 0, "default": 30000, "description": "How long an offer that the cloud refused is not tried again." },
         "longestOrderMs": { "type": "integer", "minimum": 100, "default": 8000, "description": "Longest time that an engine takes for an order." },
+        "longestTerminationMs": { "type": "integer", "minimum": 100, "default": 2500, "description": "Longest time that the cloud takes to end an instance." },
         "retireMs": { "type": "integer", "minimum": 0, "default": 30000, "description": "Time for streams at an endpoint that is no longer wanted." }
 )json";
 
@@ -203,6 +204,7 @@
     options.period = milliseconds(document, "periodMs");
     options.refusalMemory = milliseconds(document, "refusalMemoryMs");
     options.zone.longestOrder = milliseconds(document, "longestOrderMs");
+    options.zone.longestTermination = milliseconds(document, "longestTerminationMs");
     options.zone.retireTime = milliseconds(document, "retireMs");
     return options;
 }
--- a/modules/placement/zone_controller.cpp
+++ b/modules/placement/zone_controller.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-    // An order to end an instance takes no longer.
-    constexpr Milliseconds terminateTime { 3000 };
-
     Error leaseLost() { return Error { ErrorCode::Conflict, "the lease has ended" }; }
 
 } // namespace
@@ -237,7 +234,7 @@
     auto now = wallMilliseconds();
     for (auto& it : m_status) {
         bool retired = it.retiredAt != 0 && now - it.retiredAt >= static_cast<std::uint64_t>(m_options.retireTime.count());
-        if (it.state == SlotState::Leaving && retired && exists(it.instance) && lease.left() >= terminateTime)
+        if (it.state == SlotState::Leaving && retired && exists(it.instance) && lease.left() >= m_options.longestTermination)
             (void)m_cloud.terminate(it.instance);
         // An instance that ended without a notice.
         if ((it.state == SlotState::Loaded || it.state == SlotState::Started) && !exists(it.instance)) {
@@ -260,7 +257,7 @@
         if (!ours || known)
             continue;
         // The cloud checks no fence: only a lease with time left shows that nobody else has ordered this instance meanwhile.
-        if (lease.left() < terminateTime)
+        if (lease.left() < m_options.longestTermination)
             return leaseLost();
         logEvent(LogLevel::Warning, "leaked_instance_ended", { { "endpoint", it.id }, { "token", it.clientToken } });
         BOOST_OUTCOME_TRYV(m_cloud.terminate(it.id));
--- a/modules/placement/zone_controller.h
+++ b/modules/placement/zone_controller.h
@@ -15,6 +15,7 @@
     std::string zone {};
     std::string tokenPrefix { "onyxnotch-" }; // Of our client tokens; other instances of the account are left alone.
     Milliseconds longestOrder { 8000 }; // An engine that has not answered by then has given up the order.
+    Milliseconds longestTermination { 2500 }; // The cloud's answer to the end of an instance takes no longer.
     Milliseconds retireTime { 30000 }; // For streams at a slot that is no longer wanted.
     unsigned parallelism { 8 }; // Cloud starts and load orders at once.
     std::size_t maximumSlots { 2000 };
--- a/modules/replica/state_watcher.cpp
+++ b/modules/replica/state_watcher.cpp
@@ -96,7 +96,7 @@
 Status StateWatcher::watchConfiguration()
 {
     auto version = m_replica.state()->configuration.version();
-    if (m_configurationRevision == 0) {
+    if (!m_configurationRevision) {
         // Revision first, then the content: what changes between the two is seen again.
         auto batch = m_objects.watch(std::string(ConfigurationStore::changePrefix), ~std::uint64_t(0), Milliseconds(0));
         m_reachable = batch.has_value();
@@ -108,7 +108,7 @@
         m_configurationRevision = batch.value().revision;
         return success();
     }
-    auto batch = m_objects.watch(std::string(ConfigurationStore::changePrefix), m_configurationRevision, m_options.watchWait);
+    auto batch = m_objects.watch(std::string(ConfigurationStore::changePrefix), *m_configurationRevision, m_options.watchWait);
     m_reachable = batch.has_value();
     if (!batch)
         return batch.error();
@@ -122,7 +122,7 @@
             m_membership.announceDocuments();
         // A gap: older changes have been compacted away.
         if (!moved && !changes.empty() && changes.front().version > m_replica.state()->configuration.version() + 1) {
-            m_configurationRevision = 0;
+            m_configurationRevision.reset();
             return success();
         }
     }
@@ -132,8 +132,8 @@
 
 Status StateWatcher::watchEndpoints()
 {
-    Result<ObjectBatch> batch = m_endpointRevision == 0 ? m_objects.list(std::string(endpointPrefix))
-                                                        : m_objects.watch(std::string(endpointPrefix), m_endpointRevision, m_options.watchWait);
+    Result<ObjectBatch> batch = !m_endpointRevision ? m_objects.list(std::string(endpointPrefix))
+                                                    : m_objects.watch(std::string(endpointPrefix), *m_endpointRevision, m_options.watchWait);
     if (!batch)
         return batch.error();
     bool moved = false;
--- a/tests/fakes/model_engine.cpp
+++ b/tests/fakes/model_engine.cpp
@@ -180,7 +180,9 @@
                 writer(event({ { "stream_id", id }, { "offset", offset }, { "moved", true } }));
                 return;
             }
-            auto text = expectedAnswer(stream.prompt, tokensOf(stream, steadyNow()));
+            // One reading of the clock for both questions: what there is to write, and whether it is all.
+            auto tokens = tokensOf(stream, steadyNow());
+            auto text = expectedAnswer(stream.prompt, tokens);
             if (text.size() > offset) {
                 // One token an event.
                 auto token = text.substr(offset, text.find(' ', offset) + 1 - offset);
@@ -190,7 +192,7 @@
                 ++written;
                 continue;
             }
-            if (tokensOf(stream, steadyNow()) >= stream.maximumTokens) {
+            if (tokens >= stream.maximumTokens) {
                 writer(event({ { "stream_id", id }, { "offset", offset }, { "end", true } }));
                 Lock lock(m_mutex);
                 m_changed.notify_all();
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -138,7 +138,7 @@
 Process& Cluster::startController(const std::string& instance, const std::string& zone)
 {
     auto settings = nodeSettings(instance, zone);
-    settings.merge_patch({ { "leaseDurationMs", 2000 }, { "leaseRenewMs", 500 }, { "periodMs", 100 }, { "refusalMemoryMs", 3000 }, { "longestOrderMs", 1000 }, { "retireMs", 1000 } });
+    settings.merge_patch({ { "leaseDurationMs", 2000 }, { "leaseRenewMs", 500 }, { "periodMs", 100 }, { "refusalMemoryMs", 3000 }, { "longestOrderMs", 1000 }, { "longestTerminationMs", 500 }, { "retireMs", 1000 } });
     settings.merge_patch(m_options.controllerSettings);
     auto path = writeFile(instance + "-controller-" + std::to_string(m_controllers.size()) + ".json", settings.dump(2));
     m_controllers.push_back(std::make_unique<Process>("onyxnotch-controller", std::vector<std::string> { "--settings", path }));
