--- a/core/json_schema.cpp
+++ b/core/json_schema.cpp
@@ -1,5 +1,6 @@
 #include "core/json_schema.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
@@ -48,6 +49,10 @@
         SchemaViolation violation { .pointer = pointerOf(error.context), .reason = error.description };
         violations.push_back(std::move(violation));
     }
+    // Behind the violation itself valijson reports every schema around it, which only hides the reason.
+    auto isSurrounding = [](const SchemaViolation& it) { return it.reason.rfind("Failed to validate", 0) == 0; };
+    if (!std::all_of(violations.begin(), violations.end(), isSurrounding))
+        std::erase_if(violations, isSurrounding);
     return violations;
 }
 
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -22,6 +22,7 @@
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
 
+    pid_t pid() const { return m_pid; }
     void signal(int number) const;
     // Waits for the end. Returns the exit code, or 128 + signal; empty where it has not ended within the limit.
     std::optional<int> wait(Milliseconds limit);
