Join leaving marks instead of keeping the first; name limits in the settings

Cause: a mark from the instance list (no deadline) hid the cloud's later notice with its deadline, so streams stayed at the engine until it ended.

--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -54,6 +54,15 @@
                 "suspicionMs": { "type": "integer", "minimum": 100, "default": 3000, "description": "Time in which a suspected node can show that it is alive." }
             }
         },
+        "limits": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "Sizes that no input can exceed.",
+            "properties": {
+                "members": { "type": "integer", "minimum": 1, "default": 4096, "description": "Nodes that are known; news of more is dropped." },
+                "leavingMarks": { "type": "integer", "minimum": 1, "default": 65536, "description": "Marks that are kept; at the limit the first one goes." },
+                "peerConnections": { "type": "integer", "minimum": 1, "default": 1024, "description": "Connections of other nodes; one more is closed at once." }
+            }
+        },
         "watchersPerZone": { "type": "integer", "minimum": 1, "default": 2, "description": "Nodes of a zone that watch the platform; the others hear of changes from them." },
         "logLevel": { "enum": ["debug", "info", "warning", "error"], "default": "info", "description": "Least level that is logged." },
 )json";
@@ -75,6 +84,10 @@
         "loadPeriodMs": { "type": "integer", "minimum": 50, "default": 500, "description": "Time between two load reports of an endpoint." },
         "prefillTokensPerSecond": { "type": "number", "minimum": 1, "default": 8000, "description": "What routing expects of an engine." },
         "transferTokensPerSecond": { "type": "number", "minimum": 1, "default": 200000, "description": "KV cache between engines, as tokens." },
+        "maximumAdoptedLedgers": { "type": "integer", "minimum": 0, "default": 64, "description": "Ledgers of leaving nodes that this node answers for; more are refused, and the leaving node asks another one." },
+        "maximumAttempts": { "type": "integer", "minimum": 1, "default": 12, "description": "Engines that one model request is started at." },
+        "retriesPerRequest": { "type": "number", "minimum": 0, "default": 0.2, "description": "Retries that the node allows itself, as a part of its requests; beyond that requests are refused." },
+        "retryBurst": { "type": "number", "minimum": 1, "default": 10, "description": "Retries that may come at once." },
         "handoverTimeoutMs": { "type": "integer", "minimum": 50, "default": 1000, "description": "Of one message to a successor." }
 )json";
 
@@ -133,6 +146,10 @@
         options.membership.probePeriod = milliseconds(membership, "probePeriodMs");
         options.membership.probeTimeout = milliseconds(membership, "probeTimeoutMs");
         options.membership.table.suspicionTime = milliseconds(membership, "suspicionMs");
+        const auto& limits = document.at("limits");
+        options.membership.table.maximumMembers = limits.at("members");
+        options.membership.maximumMarks = limits.at("leavingMarks");
+        options.maximumPeerConnections = limits.at("peerConnections");
         options.watcher.watchersPerZone = document.at("watchersPerZone");
         auto readAddress = [&](const std::string& pointer, const std::string& text, Address& target) -> Status {
             auto address = parseAddress(text);
@@ -180,6 +197,10 @@
     options.requests.hardMaximumActive = 2 * options.requests.admission.maximumActive;
     options.requests.ledgers.ticketLifetime = milliseconds(document, "ticketLifetimeMs");
     options.requests.ledgers.ledger.maximumEntries = document.at("maximumLedgerEntries");
+    options.requests.ledgers.maximumAdoptedLedgers = document.at("maximumAdoptedLedgers");
+    options.requests.runner.maximumAttempts = document.at("maximumAttempts");
+    options.requests.retriesPerRequest = document.at("retriesPerRequest");
+    options.requests.retryBurst = document.at("retryBurst");
     options.requests.requestDeadline = milliseconds(document, "requestDeadlineMs");
     options.requests.retention = milliseconds(document, "retentionMs");
     options.requests.runner.unreadLimit = milliseconds(document, "unreadLimitMs");
--- a/modules/gateway/request_server.cpp
+++ b/modules/gateway/request_server.cpp
@@ -47,6 +47,7 @@
     , m_timers(timers)
     , m_metrics(metrics)
     , m_admission(options.admission)
+    , m_retries(options.retriesPerRequest, options.retryBurst)
     , m_runner(options.runner, directory, m_retries, metrics)
     , m_ledgers(options.ledgers)
     , m_handover(options.handover, membership, m_ledgers, metrics)
--- a/modules/gateway/request_server.h
+++ b/modules/gateway/request_server.h
@@ -19,6 +19,8 @@
     PlainCallOptions plain {};
     LedgerBookOptions ledgers {};
     HandoverOptions handover {};
+    double retriesPerRequest { 0.2 }; // Retries that this node allows itself, as a part of its requests.
+    double retryBurst { 10 };
     Milliseconds requestDeadline { 300000 }; // Where the caller names none.
     Milliseconds retention { 60000 }; // Finished answers stay for repeats.
     Milliseconds comeBack { 1000 }; // What refusals without a better estimate say.
--- a/modules/node/node.cpp
+++ b/modules/node/node.cpp
@@ -41,7 +41,7 @@
     , m_cloud(options.platform.cloud, options.platform.instanceList)
     , m_membership(membershipOptionsOf(options, m_identity), m_replica.hooks(), m_timers, m_metrics)
     , m_watcher(options.watcher, m_objects, m_cloud, m_replica, m_membership, m_metrics)
-    , m_peers({ .host = options.host, .port = options.peerPort }, [this](const Frame& frame) { return handlePeerFrame(frame); })
+    , m_peers({ .host = options.host, .port = options.peerPort, .maximumConnections = options.maximumPeerConnections }, [this](const Frame& frame) { return handlePeerFrame(frame); })
 {
 }
 
--- a/modules/node/node.h
+++ b/modules/node/node.h
@@ -32,6 +32,7 @@
     PlatformAddresses platform {};
     MembershipOptions membership {};
     StateWatcherOptions watcher {};
+    unsigned maximumPeerConnections { 1024 };
 };
 
 class Node {
--- a/modules/replica/state_watcher.h
+++ b/modules/replica/state_watcher.h
@@ -54,8 +54,8 @@
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_reachable { true };
     // Where the next watch goes on; empty: read everything first. An empty store has revision 0, so 0 cannot say that.
-    std::optional<std::uint64_t> m_configurationRevision;
-    std::optional<std::uint64_t> m_endpointRevision;
+    std::optional<std::uint64_t> m_configurationRevision {};
+    std::optional<std::uint64_t> m_endpointRevision {};
     std::uint64_t m_lastNotice { 0 };
     std::mutex m_pauseMutex;
     std::condition_variable m_pauseEnded;
--- a/servers/membership/membership_server.cpp
+++ b/servers/membership/membership_server.cpp
@@ -101,6 +101,7 @@
         , timers(t)
         , metrics(m)
         , table(o.self, o.table)
+        , marks(o.maximumMarks)
         , socket(o.listenHost, o.listenPort, [this](const Frame& frame) { receive(frame); })
         , random(std::random_device {}())
     {
@@ -114,7 +115,7 @@
         auto next = std::make_shared<MemberView>();
         next->self = table.self();
         next->members = table.members();
-        next->marks = marks;
+        next->marks = marks.marks();
         next->successions = successions;
         std::atomic_store(&view, std::shared_ptr<const MemberView>(std::move(next)));
     }
@@ -140,12 +141,10 @@
 
     bool takeMarkLocked(const LeavingMark& mark)
     {
-        if (marks.contains(mark.endpoint))
+        auto joined = marks.add(mark);
+        if (!joined)
             return false;
-        if (marks.size() >= options.maximumMarks)
-            marks.erase(marks.begin());
-        marks.emplace(mark.endpoint, mark);
-        markNews.add(mark.endpoint, mark);
+        markNews.add(mark.endpoint, *joined);
         metrics.increment("onyxnotch_leaving_marks_total");
         logEvent(LogLevel::Info, "endpoint_leaving", { { "endpoint", mark.endpoint }, { "deadline_ms", mark.deadlineWallMilliseconds }, { "source", static_cast<int>(mark.source) } });
         return true;
@@ -476,7 +475,7 @@
             pushWanted = true;
             publish();
             reply.members = table.members();
-            for (const auto& [endpoint, mark] : marks)
+            for (const auto& [endpoint, mark] : marks.marks())
                 reply.marks.push_back(mark);
             for (const auto& [key, succession] : successions)
                 reply.successions.push_back(succession);
@@ -492,7 +491,7 @@
     Metrics& metrics;
     mutable std::mutex mutex;
     MemberTable table;
-    std::map<std::string, LeavingMark> marks;
+    LeavingMarks marks;
     std::map<std::pair<std::string, std::uint64_t>, Succession> successions;
     NewsQueue<Member> memberNews;
     NewsQueue<LeavingMark> markNews;
--- a/servers/membership/membership_server.h
+++ b/servers/membership/membership_server.h
@@ -5,6 +5,7 @@
 #include "core/metrics.h"
 #include "core/net/peer_connection.h"
 #include "core/timer_service.h"
+#include "servers/membership/leaving_marks.h"
 #include "servers/membership/member_table.h"
 #include <functional>
 #include <memory>
@@ -71,7 +72,7 @@
     std::shared_ptr<const MemberView> view() const;
     // News of this node; sent at once to a few nodes, and on from there.
     void announceLeaving();
-    // True where the mark is new here.
+    // True where the mark says something new here.
     bool announceMark(const LeavingMark&);
     void announceSuccession(const Succession&);
     // The documents have changed here: tells a few nodes at once.
--- a/tests/promises/test_bad_input.cpp
+++ b/tests/promises/test_bad_input.cpp
@@ -132,6 +132,26 @@
     BOOST_CHECK(cluster.get(gateway.http, "/healthz").value("alive", false));
 }
 
+BOOST_AUTO_TEST_CASE(connections_over_the_limit_are_closed_at_once)
+{
+    auto options = site();
+    options.gatewaySettings["limits"] = { { "peerConnections", 2 } };
+    Cluster cluster(options);
+    auto& gateway = cluster.gateway(0);
+    asio::io_context context;
+    auto first = connectTo(context, gateway.peer);
+    auto second = connectTo(context, gateway.peer);
+    // The third is closed without an answer, long before the read timeout of the others.
+    auto third = connectTo(context, gateway.peer);
+    auto began = steadyNow();
+    readAll(third);
+    BOOST_CHECK(steadyNow() - began < Milliseconds(3000));
+    asio::error_code ignored;
+    first.close(ignored);
+    second.close(ignored);
+    BOOST_CHECK(waitUntil([&] { return callPeer(gateway.peer, { .type = static_cast<MessageType>(999), .payload = "x" }, Milliseconds(1000)).has_value(); }));
+}
+
 BOOST_AUTO_TEST_CASE(settings_errors_name_the_key)
 {
     Cluster cluster({ .zones = { "kushiro-hall" }, .gatewaysPerZone = 0, .controllers = 0 });
