Route by engine time: count a prefill whole and a generation by its slot, share prefix homes

Cause: the cost counted a prefill like a generation slot, so any queued request at a prefix's home sent the next one elsewhere, where its prompt was prefilled again. Ruled out: cache size alone (the same trace fits). Also: backlog in tokens instead of requests, less what was done since the report; other gateways' starts counted like our own.

--- a/modules/load/trace.cpp
+++ b/modules/load/trace.cpp
@@ -81,9 +81,9 @@
 Result<Workload> workloadNamed(const std::string& name)
 {
     if (name == "cold-yards")
-        return Workload { .name = name, .requestsPerSecond = 40, .planPart = 0.05, .releasePart = 0.1 };
+        return Workload { .name = name, .requestsPerSecond = 90, .planPart = 0.05, .releasePart = 0.1 };
     if (name == "despacho-litoral")
-        return Workload { .name = name, .requestsPerSecond = 24, .planPart = 0.4, .releasePart = 0.1, .planTokens = 200 };
+        return Workload { .name = name, .requestsPerSecond = 45, .planPart = 0.4, .releasePart = 0.1, .planTokens = 200 };
     return Error { ErrorCode::InvalidArgument, "unknown workload '" + name + "': cold-yards or despacho-litoral" };
 }
 
--- a/modules/request/endpoint_directory.cpp
+++ b/modules/request/endpoint_directory.cpp
@@ -61,8 +61,16 @@
     return chosen;
 }
 
-std::optional<double> EndpointDirectory::soonestFirstToken(const std::string& service, const RouteRequest& request) const
+unsigned EndpointDirectory::gatewayCount() const
 {
+    auto view = m_membership.view();
+    auto counts = [](const Member& it) { return it.role == MemberRole::Gateway && it.state == MemberState::Alive && !it.leaving; };
+    return static_cast<unsigned>(std::max<std::ptrdiff_t>(1, std::count_if(view->members.begin(), view->members.end(), counts)));
+}
+
+std::optional<double> EndpointDirectory::soonestFirstToken(const std::string& service, RouteRequest request) const
+{
+    request.nodes = gatewayCount();
     std::optional<double> soonest;
     for (const auto& it : candidates(service, request.prefixHash, {})) {
         auto seconds = expectedFirstTokenSeconds(it, request, m_options);
@@ -71,8 +79,9 @@
     return soonest;
 }
 
-RouteDecision EndpointDirectory::choose(const std::vector<RouteCandidate>& candidates, const RouteRequest& request) const
+RouteDecision EndpointDirectory::choose(const std::vector<RouteCandidate>& candidates, RouteRequest request) const
 {
+    request.nodes = gatewayCount();
     thread_local std::mt19937_64 random { std::random_device {}() };
     return m_policy(candidates, request, m_options, random());
 }
--- a/modules/request/endpoint_directory.h
+++ b/modules/request/endpoint_directory.h
@@ -25,9 +25,11 @@
     // The endpoints that serve the service's model version, without leaving ones and those in `excluded`.
     std::vector<RouteCandidate> candidates(const std::string& service, std::uint64_t prefixHash, const std::set<std::string>& excluded) const;
     // Expected seconds to the first token at the best candidate; empty where there is none.
-    std::optional<double> soonestFirstToken(const std::string& service, const RouteRequest&) const;
+    std::optional<double> soonestFirstToken(const std::string& service, RouteRequest) const;
     // Of those the one that routing chooses, with the reason.
-    RouteDecision choose(const std::vector<RouteCandidate>&, const RouteRequest&) const;
+    RouteDecision choose(const std::vector<RouteCandidate>&, RouteRequest) const;
+    // Tokens that the engine will have to prefill.
+    double expectedPrefill(const RouteCandidate& candidate, const RouteRequest& request) const { return uncachedTokens(candidate, request, m_options); }
     // Fixed endpoints of a plain service that are not leaving.
     std::vector<PlainEndpoint> plainEndpoints(const std::string& service) const;
 
@@ -43,6 +45,8 @@
     LoadTracker& loads() const { return m_loads; }
 
 private:
+    unsigned gatewayCount() const;
+
     const StateReplica& m_replica;
     const MembershipServer& m_membership;
     LoadTracker& m_loads;
--- a/modules/routing/load_tracker.cpp
+++ b/modules/routing/load_tracker.cpp
@@ -5,6 +5,13 @@
 
 namespace Onyxnotch {
 
+namespace {
+
+    // Of the newest request in the average.
+    constexpr double typicalWeight = 0.1;
+
+} // namespace
+
 LoadTracker::InFlight::InFlight(LoadTracker& tracker, std::string endpoint)
     : m_tracker(&tracker)
     , m_endpoint(std::move(endpoint))
@@ -36,12 +43,15 @@
     m_tracker = nullptr;
 }
 
-LoadTracker::InFlight LoadTracker::begin(const std::string& endpoint, std::uint64_t prefixHash)
+LoadTracker::InFlight LoadTracker::begin(const std::string& endpoint, std::uint64_t prefixHash, double tokens)
 {
     std::lock_guard lock(m_mutex);
     auto& entry = m_entries[endpoint];
     ++entry.load.ownInFlight;
     ++entry.load.startedSinceReport;
+    entry.load.startedTokens += tokens;
+    bool first = entry.load.typicalTokens == 0;
+    entry.load.typicalTokens = first ? tokens : entry.load.typicalTokens + typicalWeight * (tokens - entry.load.typicalTokens);
     entry.prefixes.remove(prefixHash);
     entry.prefixes.push_front(prefixHash);
     if (entry.prefixes.size() > maximumPrefixes)
@@ -60,10 +70,13 @@
 void LoadTracker::report(const std::string& endpoint, const EngineLoad& report)
 {
     std::lock_guard lock(m_mutex);
-    auto& load = m_entries[endpoint].load;
+    auto& entry = m_entries[endpoint];
+    entry.reportedAt = steadyNow();
+    auto& load = entry.load;
     load.reportedRunning = report.running;
     load.reportedQueued = report.queued;
     load.startedSinceReport = 0;
+    load.startedTokens = 0;
 }
 
 EndpointLoad LoadTracker::load(const std::string& endpoint, std::uint64_t prefixHash) const
@@ -73,6 +86,7 @@
     if (it == m_entries.end())
         return {};
     auto load = it->second.load;
+    load.reportAgeSeconds = std::chrono::duration<double>(steadyNow() - it->second.reportedAt).count();
     const auto& prefixes = it->second.prefixes;
     load.prefixCached = std::find(prefixes.begin(), prefixes.end(), prefixHash) != prefixes.end();
     return load;
--- a/modules/routing/load_tracker.h
+++ b/modules/routing/load_tracker.h
@@ -28,16 +28,18 @@
         std::string m_endpoint {};
     };
 
-    InFlight begin(const std::string& endpoint, std::uint64_t prefixHash);
+    // `tokens` are expected to be prefilled.
+    InFlight begin(const std::string& endpoint, std::uint64_t prefixHash, double tokens);
     void report(const std::string& endpoint, const EngineLoad&);
     EndpointLoad load(const std::string& endpoint, std::uint64_t prefixHash) const;
     void forget(const std::string& endpoint);
 
 private:
-    static constexpr std::size_t maximumPrefixes = 256; // Remembered for each endpoint.
+    static constexpr std::size_t maximumPrefixes = 32; // Remembered for each endpoint.
 
     struct Entry {
         EndpointLoad load;
+        SteadyTime reportedAt {};
         std::list<std::uint64_t> prefixes; // Most recent first.
     };
 
--- a/modules/routing/route.cpp
+++ b/modules/routing/route.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr double secondsPerHour = 3600;
+    constexpr double soonerWeight = 0.5;
     constexpr auto noEndpoint = "no endpoint serves this model";
     // A part of the objective is kept for what the estimate does not see: the network and the lag of reports.
     constexpr double usablePartOfObjective = 0.7;
@@ -17,16 +18,19 @@
         return std::max(load.reportedRunning + load.reportedQueued + load.startedSinceReport, load.ownInFlight);
     }
 
-    // Price of the time that the request holds a slot, plus the price of the work that is expected to be done again.
+    // Price of the engine's time that the request takes, plus the price of the work that is expected to be done again. A prefill has
+    // the engine for itself; a generation shares it with the other slots.
     double expectedCost(const RouteCandidate& candidate, const RouteRequest& request, const RouteOptions& options)
     {
-        double duration = request.promptTokens / options.prefillTokensPerSecond + request.expectedTokens * options.tokenSeconds;
+        double prefill = uncachedTokens(candidate, request, options) / options.prefillTokensPerSecond;
+        double generation = request.expectedTokens * options.tokenSeconds;
         double pricePerSecond = candidate.endpoint.pricePerHour / secondsPerHour;
-        double cost = pricePerSecond * duration / options.batchSlots;
+        double cost = pricePerSecond * (prefill + generation / options.batchSlots);
         if (candidate.endpoint.market != Market::Reclaimable)
             return cost;
+        double duration = prefill + generation;
         double reclaimProbability = std::min(1.0, options.reclaimsPerHour * duration / secondsPerHour);
-        // On average half of the generation is done when the reclaim comes; the prompt is always prefilled again.
+        // On average half of the generation is done when the reclaim comes; the whole prompt is prefilled again.
         double lostSeconds = request.promptTokens / options.prefillTokensPerSecond + duration / 2;
         return cost + options.recomputeWeight * reclaimProbability * lostSeconds * pricePerSecond;
     }
@@ -63,16 +67,24 @@
 
 } // namespace
 
+double uncachedTokens(const RouteCandidate& candidate, const RouteRequest& request, const RouteOptions& options)
+{
+    return request.promptTokens * (candidate.load.prefixCached ? 1 - options.cachedPart : 1);
+}
+
 double expectedFirstTokenSeconds(const RouteCandidate& candidate, const RouteRequest& request, const RouteOptions& options)
 {
-    auto ahead = loadOf(candidate.load);
+    const auto& load = candidate.load;
+    auto ahead = loadOf(load);
     double waiting = 0;
     if (ahead >= options.batchSlots)
         waiting = (ahead - options.batchSlots + 1) * options.slotTurnSeconds / options.batchSlots;
-    double uncached = candidate.load.prefixCached ? 1 - options.cachedPart : 1;
-    // Prefills are done one after the other: those that wait, and those that this node has started since.
-    double prefills = uncached + candidate.load.startedSinceReport + candidate.load.reportedQueued;
-    return waiting + prefills * request.promptTokens / options.prefillTokensPerSecond + options.tokenSeconds * (1 + ahead / static_cast<double>(options.batchSlots));
+    // Prefills are done one after the other: those that waited at the time of the report, less what was done since, and those that
+    // were started since. The other nodes start about as many as this one.
+    double reported = std::max(0.0, load.reportedQueued * load.typicalTokens - load.reportAgeSeconds * options.prefillTokensPerSecond);
+    double backlog = reported + load.startedTokens * request.nodes;
+    double prefill = (backlog + uncachedTokens(candidate, request, options)) / options.prefillTokensPerSecond;
+    return waiting + prefill + options.tokenSeconds * (1 + ahead / static_cast<double>(options.batchSlots));
 }
 
 Result<RoutePolicy> routePolicyNamed(const std::string& name)
@@ -101,8 +113,8 @@
             fastest = { .candidate = n, .expectedFirstTokenSeconds = seconds, .reason = "fastest; none is expected to meet the objective" };
         if (seconds > limit)
             continue;
-        // Of equal prices the less loaded one.
-        auto cost = expectedCost(candidates[n], request, options) * (1 + seconds);
+        // Of about equal costs the sooner one.
+        auto cost = expectedCost(candidates[n], request, options) * (1 + soonerWeight * seconds);
         if (cheapest.candidate && cost >= lowestCost)
             continue;
         lowestCost = cost;
--- a/modules/routing/route.h
+++ b/modules/routing/route.h
@@ -16,6 +16,9 @@
     unsigned reportedRunning { 0 };
     unsigned reportedQueued { 0 };
     unsigned startedSinceReport { 0 }; // By this node, so not yet in the report.
+    double startedTokens { 0 }; // To be prefilled for those.
+    double typicalTokens { 0 }; // To be prefilled for one request, as this node has seen there lately.
+    double reportAgeSeconds { 0 };
     unsigned ownInFlight { 0 };
     bool prefixCached { false }; // This node has sent a prompt with this beginning there lately.
 
@@ -32,6 +35,7 @@
 struct RouteRequest {
     unsigned promptTokens { 0 };
     unsigned expectedTokens { 0 }; // Still to be generated.
+    unsigned nodes { 1 }; // Gateways that send requests to the same endpoints.
     std::uint64_t prefixHash { 0 }; // Of the prompt's beginning; 0 where the prompt does not matter.
     Objective objective {};
 
@@ -61,6 +65,9 @@
 // "cheapest-in-time" is the project's own. "random", "least-reported-load" and "two-choices" are baselines to measure against.
 Result<RoutePolicy> routePolicyNamed(const std::string& name);
 
+// Of a request's prompt at a candidate.
+double uncachedTokens(const RouteCandidate&, const RouteRequest&, const RouteOptions&);
+
 // Expected time to the first token at a candidate.
 double expectedFirstTokenSeconds(const RouteCandidate&, const RouteRequest&, const RouteOptions&);
 
--- a/tests/modules/routing/test_route.cpp
+++ b/tests/modules/routing/test_route.cpp
@@ -20,6 +20,7 @@
     std::vector<RouteCandidate> candidates { candidateOf("dear", 4, Market::OnDemand), candidateOf("cheap", 1, Market::Reclaimable) };
     BOOST_CHECK_EQUAL(*chooseEndpoint(candidates, request, {}).candidate, 1);
     candidates[1].load.reportedQueued = 4000;
+    candidates[1].load.typicalTokens = 100;
     BOOST_CHECK_EQUAL(*chooseEndpoint(candidates, request, {}).candidate, 0);
 }
 
@@ -44,8 +45,8 @@
 BOOST_AUTO_TEST_CASE(own_requests_count_until_the_report_has_seen_them)
 {
     LoadTracker tracker;
-    auto first = tracker.begin("e", 7);
-    auto second = tracker.begin("e", 7);
+    auto first = tracker.begin("e", 7, 100);
+    auto second = tracker.begin("e", 7, 100);
     BOOST_CHECK_EQUAL(tracker.load("e", 7).startedSinceReport, 2);
     BOOST_CHECK(tracker.load("e", 7).prefixCached);
     BOOST_CHECK(!tracker.load("e", 8).prefixCached);
