Refuse at once what would be late; follow each engine's prefill backlog as a queue that drains

Cause: admission counted every request started since the last report as still waiting, so many short requests looked like a full engine (267 refusals in promise.LeavingEndpoint) while stale idle reports let long ones in under overload. Now the backlog drains at the engine's rate between reports, and in-flight requests count by their net growth. A request is refused where its first token is expected after half of the objective and no engine has room. LeavingEndpoint passes again.

--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -82,7 +82,7 @@
         "endpointWaitMs": { "type": "integer", "minimum": 0, "default": 5000, "description": "How long a request waits for an endpoint where none serves its model." },
         "drainLimitMs": { "type": "integer", "minimum": 0, "default": 30000, "description": "At a planned stop: time for requests to end before they are handed over." },
         "loadPeriodMs": { "type": "integer", "minimum": 50, "default": 500, "description": "Time between two load reports of an endpoint." },
-        "objectiveFactor": { "type": "number", "minimum": 0, "default": 1, "description": "A model request is refused at once where its first token is expected after this many times the service's objective; 0: never." },
+        "timelyPart": { "type": "number", "minimum": 0, "default": 0.5, "description": "A model request is refused at once where no engine is idle and its first token is expected later than this part of its service's objective; 0: never." },
         "routingPolicy": { "enum": ["cheapest-in-time", "random", "least-reported-load", "two-choices"], "default": "cheapest-in-time", "description": "How endpoints are chosen; all but the default are baselines to measure against." },
         "reclaimPolicy": { "enum": ["least-recomputation", "prefill-again"], "default": "least-recomputation", "description": "What happens to streams of a leaving engine; 'prefill-again' is a baseline to measure against." },
         "batchSlots": { "type": "integer", "minimum": 1, "default": 32, "description": "Streams that routing expects an engine to run at once." },
@@ -212,7 +212,7 @@
     options.requests.runner.endpointWait = milliseconds(document, "endpointWaitMs");
     options.requests.runner.reclaim.transferTokensPerSecond = document.at("transferTokensPerSecond");
     options.requests.handover.callTimeout = milliseconds(document, "handoverTimeoutMs");
-    options.requests.objectiveFactor = document.at("objectiveFactor");
+    options.requests.timelyPart = document.at("timelyPart");
     options.routingPolicy = document.at("routingPolicy");
     options.requests.runner.reclaim.movesAllowed = document.at("reclaimPolicy") == "least-recomputation";
     options.routing.batchSlots = document.at("batchSlots");
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -33,6 +33,7 @@
 Gateway::Gateway(const GatewayOptions& options)
     : m_options(options)
     , m_node(options.node)
+    , m_loads({ .prefillTokensPerSecond = options.routing.prefillTokensPerSecond })
     , m_directory(m_node.replica(), m_node.membership(), m_loads, options.routing, routePolicyNamed(options.routingPolicy).value())
     , m_requests(requestOptionsOf(options, m_node.identity()), m_node.replica(), m_node.membership(), m_directory, m_node.timers(), m_node.metrics())
     , m_http(options.http)
--- a/modules/gateway/request_server.cpp
+++ b/modules/gateway/request_server.cpp
@@ -230,19 +230,17 @@
     return refusal(tooManyRequests, refused->reason, refused->retryAfter);
 }
 
-std::optional<RequestError> RequestServer::objectiveError(const Caller& caller, const ChatRequest& chat) const
+std::optional<RequestError> RequestServer::latenessError(const Caller& caller, const ChatRequest& chat) const
 {
     auto served = m_directory.servedModel(chat.service);
-    if (m_options.objectiveFactor <= 0 || caller.priority > 0 || !served)
+    if (m_options.timelyPart <= 0 || caller.priority > 0 || !served)
         return std::nullopt;
     RouteRequest route { .promptTokens = estimateTokens(chat.prompt), .expectedTokens = chat.maximumTokens, .prefixHash = prefixHashOf(chat.prompt), .objective = served->objective };
-    auto soonest = m_directory.soonestFirstToken(chat.service, route);
-    auto limit = m_options.objectiveFactor * std::chrono::duration<double>(served->objective.firstToken).count();
     // Where there is no endpoint at this moment, one may appear while the request waits.
-    if (!soonest || *soonest <= limit)
+    auto late = m_directory.delayUntilTimely(chat.service, route, m_options.timelyPart);
+    if (!late)
         return std::nullopt;
-    std::chrono::duration<double> late(*soonest - limit);
-    auto retryAfter = std::clamp(std::chrono::duration_cast<Milliseconds>(late), shortestComeBack, longestComeBack);
+    auto retryAfter = std::clamp(*late, shortestComeBack, longestComeBack);
     m_metrics.increment("onyxnotch_admissions_total", { { "team", caller.team }, { "result", "too_late" } });
     return refusal(tooManyRequests, "every endpoint is too busy for the objective of " + chat.service, retryAfter);
 }
@@ -275,7 +273,7 @@
         return acceptance;
     auto refused = admissionError(caller);
     if (!refused)
-        refused = objectiveError(caller, chat);
+        refused = latenessError(caller, chat);
     if (refused) {
         // Entered as not run: a copy that is still on its way will not run either.
         m_ledgers.finish(decision.requestId, RequestOutcome::NotRun);
--- a/modules/gateway/request_server.h
+++ b/modules/gateway/request_server.h
@@ -21,8 +21,9 @@
     HandoverOptions handover {};
     double retriesPerRequest { 0.2 }; // Retries that this node allows itself, as a part of its requests.
     double retryBurst { 10 };
-    // A model request is refused where its first token is expected after this many times the objective; 0: never.
-    double objectiveFactor { 1 };
+    // A model request is refused where no engine is idle and its first token is expected later than this part of the objective; 0:
+    // never. Below 1, since the estimate is too low for about half of the requests.
+    double timelyPart { 0.5 };
     Milliseconds requestDeadline { 300000 }; // Where the caller names none.
     Milliseconds retention { 60000 }; // Finished answers stay for repeats.
     Milliseconds comeBack { 1000 }; // What refusals without a better estimate say.
@@ -115,8 +116,8 @@
     TicketDecision decideKnown(const LedgerEntry&, bool repeatable);
     TicketDecision enterFresh(const Caller&, bool mayHaveRunElsewhere);
     std::optional<RequestError> admissionError(const Caller&);
-    // A request that could not begin within its service's objective, as far as can be told, is refused now and not later.
-    std::optional<RequestError> objectiveError(const Caller&, const struct ChatRequest&) const;
+    // A request that would be late for its service's objective, as far as can be told, is refused now and not later.
+    std::optional<RequestError> latenessError(const Caller&, const struct ChatRequest&) const;
     std::optional<RequestError> permissionError(const Caller&, const std::string& service, ServiceType) const;
     // Waits for the successor of a ledger that is being given. Must be called without the acceptance lock.
     std::optional<Member> waitSuccessor() const;
--- a/modules/request/endpoint_directory.cpp
+++ b/modules/request/endpoint_directory.cpp
@@ -68,20 +68,23 @@
     return static_cast<unsigned>(std::max<std::ptrdiff_t>(1, std::count_if(view->members.begin(), view->members.end(), counts)));
 }
 
-std::optional<double> EndpointDirectory::soonestFirstToken(const std::string& service, RouteRequest request) const
+std::optional<Milliseconds> EndpointDirectory::delayUntilTimely(const std::string& service, const RouteRequest& request, double part) const
 {
-    request.nodes = gatewayCount();
-    std::optional<double> soonest;
+    double limit = part * std::chrono::duration<double>(request.objective.firstToken).count();
+    std::optional<double> shortest;
     for (const auto& it : candidates(service, request.prefixHash, {})) {
-        auto seconds = expectedFirstTokenSeconds(it, request, m_options);
-        soonest = std::min(soonest.value_or(seconds), seconds);
+        if (isTimely(it, request, m_options, part))
+            return std::nullopt;
+        auto late = expectedFirstTokenSeconds(it, request, m_options) - limit;
+        shortest = std::min(shortest.value_or(late), late);
     }
-    return soonest;
+    if (!shortest)
+        return std::nullopt;
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(*shortest));
 }
 
-RouteDecision EndpointDirectory::choose(const std::vector<RouteCandidate>& candidates, RouteRequest request) const
+RouteDecision EndpointDirectory::choose(const std::vector<RouteCandidate>& candidates, const RouteRequest& request) const
 {
-    request.nodes = gatewayCount();
     thread_local std::mt19937_64 random { std::random_device {}() };
     return m_policy(candidates, request, m_options, random());
 }
--- a/modules/request/endpoint_directory.h
+++ b/modules/request/endpoint_directory.h
@@ -24,10 +24,10 @@
 
     // The endpoints that serve the service's model version, without leaving ones and those in `excluded`.
     std::vector<RouteCandidate> candidates(const std::string& service, std::uint64_t prefixHash, const std::set<std::string>& excluded) const;
-    // Expected seconds to the first token at the best candidate; empty where there is none.
-    std::optional<double> soonestFirstToken(const std::string& service, RouteRequest) const;
+    // Empty where a candidate can take the request without being late, or there is none at all. Otherwise how late it would be.
+    std::optional<Milliseconds> delayUntilTimely(const std::string& service, const RouteRequest&, double part) const;
     // Of those the one that routing chooses, with the reason.
-    RouteDecision choose(const std::vector<RouteCandidate>&, RouteRequest) const;
+    RouteDecision choose(const std::vector<RouteCandidate>&, const RouteRequest&) const;
     // Tokens that the engine will have to prefill.
     double expectedPrefill(const RouteCandidate& candidate, const RouteRequest& request) const { return uncachedTokens(candidate, request, m_options); }
     // Fixed endpoints of a plain service that are not leaving.
@@ -44,9 +44,10 @@
 
     LoadTracker& loads() const { return m_loads; }
 
-private:
+    // Gateways that send requests to the same endpoints.
     unsigned gatewayCount() const;
 
+private:
     const StateReplica& m_replica;
     const MembershipServer& m_membership;
     LoadTracker& m_loads;
--- a/modules/request/model_runner.cpp
+++ b/modules/request/model_runner.cpp
@@ -131,7 +131,7 @@
     }
     request.answer().beginAttempt(start.streamId);
     request.setPlace({ .attempt = start.streamId, .endpoint = endpoint.id, .address = endpoint.address });
-    progress.inFlight = m_directory.loads().begin(endpoint.id, prefixHash, m_directory.expectedPrefill(candidates[*decision.candidate], route));
+    progress.inFlight = m_directory.loads().begin(endpoint.id, prefixHash, m_directory.expectedPrefill(candidates[*decision.candidate], route), m_directory.gatewayCount());
     m_metrics.increment("onyxnotch_attempts_total", { { "service", description.service } });
 
     EngineStream stream(endpoint.address);
@@ -262,7 +262,7 @@
         auto choice = m_directory.choose(candidates, { .promptTokens = 0, .expectedTokens = description.maximumTokens });
         if (choice.candidate && transferCache(request, candidates[*choice.candidate].endpoint)) {
             progress.resumes = 0;
-            progress.inFlight = m_directory.loads().begin(candidates[*choice.candidate].endpoint.id, prefixHashOf(description.prompt), 0);
+            progress.inFlight = m_directory.loads().begin(candidates[*choice.candidate].endpoint.id, prefixHashOf(description.prompt), 0, 1);
             return Step::Continue;
         }
     }
--- a/modules/request/plain_call.cpp
+++ b/modules/request/plain_call.cpp
@@ -49,7 +49,7 @@
         auto load = [this](const PlainEndpoint& it) { return m_directory.loads().load(it.id, 0).ownInFlight; };
         auto chosen = *std::min_element(endpoints.begin(), endpoints.end(), [&](const auto& left, const auto& right) { return load(left) < load(right); });
         tried.insert(chosen.id);
-        auto inFlight = m_directory.loads().begin(chosen.id, 0, 0);
+        auto inFlight = m_directory.loads().begin(chosen.id, 0, 0, 1);
         auto answer = tryEndpoint(request, chosen, deadline);
         if (!answer) {
             reason = "no endpoint could be reached";
--- a/modules/routing/load_tracker.cpp
+++ b/modules/routing/load_tracker.cpp
@@ -43,15 +43,26 @@
     m_tracker = nullptr;
 }
 
-LoadTracker::InFlight LoadTracker::begin(const std::string& endpoint, std::uint64_t prefixHash, double tokens)
+LoadTracker::LoadTracker(const LoadTrackerOptions& options)
+    : m_options(options)
+{
+}
+
+double LoadTracker::backlogLocked(const Entry& entry) const
+{
+    auto passed = std::chrono::duration<double>(steadyNow() - entry.backlogAt).count();
+    return std::max(0.0, entry.load.backlogTokens - passed * m_options.prefillTokensPerSecond);
+}
+
+LoadTracker::InFlight LoadTracker::begin(const std::string& endpoint, std::uint64_t prefixHash, double tokens, unsigned nodes)
 {
     std::lock_guard lock(m_mutex);
     auto& entry = m_entries[endpoint];
     ++entry.load.ownInFlight;
-    ++entry.load.startedSinceReport;
-    entry.load.startedTokens += tokens;
-    bool first = entry.load.typicalTokens == 0;
-    entry.load.typicalTokens = first ? tokens : entry.load.typicalTokens + typicalWeight * (tokens - entry.load.typicalTokens);
+    entry.load.backlogTokens = backlogLocked(entry) + tokens * nodes;
+    entry.backlogAt = steadyNow();
+    bool first = entry.typicalTokens == 0;
+    entry.typicalTokens = first ? tokens : entry.typicalTokens + typicalWeight * (tokens - entry.typicalTokens);
     entry.prefixes.remove(prefixHash);
     entry.prefixes.push_front(prefixHash);
     if (entry.prefixes.size() > maximumPrefixes)
@@ -71,12 +82,12 @@
 {
     std::lock_guard lock(m_mutex);
     auto& entry = m_entries[endpoint];
-    entry.reportedAt = steadyNow();
     auto& load = entry.load;
     load.reportedRunning = report.running;
     load.reportedQueued = report.queued;
-    load.startedSinceReport = 0;
-    load.startedTokens = 0;
+    entry.ownAtReport = load.ownInFlight;
+    load.backlogTokens = report.queued * entry.typicalTokens;
+    entry.backlogAt = steadyNow();
 }
 
 EndpointLoad LoadTracker::load(const std::string& endpoint, std::uint64_t prefixHash) const
@@ -86,7 +97,8 @@
     if (it == m_entries.end())
         return {};
     auto load = it->second.load;
-    load.reportAgeSeconds = std::chrono::duration<double>(steadyNow() - it->second.reportedAt).count();
+    load.backlogTokens = backlogLocked(it->second);
+    load.addedSinceReport = load.ownInFlight - std::min(load.ownInFlight, it->second.ownAtReport);
     const auto& prefixes = it->second.prefixes;
     load.prefixCached = std::find(prefixes.begin(), prefixes.end(), prefixHash) != prefixes.end();
     return load;
--- a/modules/routing/load_tracker.h
+++ b/modules/routing/load_tracker.h
@@ -10,9 +10,15 @@
 
 namespace Onyxnotch {
 
+struct LoadTrackerOptions {
+    double prefillTokensPerSecond { 8000 }; // Of one engine.
+};
+
 // Thread safe.
 class LoadTracker {
 public:
+    explicit LoadTracker(const LoadTrackerOptions& options = {});
+
     // Counts a request at an endpoint for as long as it lives.
     class InFlight {
     public:
@@ -28,8 +34,8 @@
         std::string m_endpoint {};
     };
 
-    // `tokens` are expected to be prefilled.
-    InFlight begin(const std::string& endpoint, std::uint64_t prefixHash, double tokens);
+    // `tokens` are expected to be prefilled. The other `nodes` - 1 gateways are expected to start as much as this one.
+    InFlight begin(const std::string& endpoint, std::uint64_t prefixHash, double tokens, unsigned nodes);
     void report(const std::string& endpoint, const EngineLoad&);
     EndpointLoad load(const std::string& endpoint, std::uint64_t prefixHash) const;
     void forget(const std::string& endpoint);
@@ -39,12 +45,17 @@
 
     struct Entry {
         EndpointLoad load;
-        SteadyTime reportedAt {};
+        double typicalTokens { 0 }; // To be prefilled for one request, as this node has seen there lately.
+        unsigned ownAtReport { 0 };
+        SteadyTime backlogAt {}; // When the backlog was as it stands in `load`.
         std::list<std::uint64_t> prefixes; // Most recent first.
     };
 
     void end(const std::string& endpoint);
+    // Prefills are done one after the other at a known rate.
+    double backlogLocked(const Entry&) const;
 
+    LoadTrackerOptions m_options;
     mutable std::mutex m_mutex;
     std::map<std::string, Entry> m_entries {};
 };
--- a/modules/routing/route.cpp
+++ b/modules/routing/route.cpp
@@ -8,6 +8,9 @@
 
     constexpr double secondsPerHour = 3600;
     constexpr double soonerWeight = 0.5;
+    // An engine with so little before a request, and so many slots free, has room for one that takes long by itself.
+    constexpr double idleWaitSeconds = 0.005;
+    constexpr double roomyPartOfSlots = 0.5;
     constexpr auto noEndpoint = "no endpoint serves this model";
     // A part of the objective is kept for what the estimate does not see: the network and the lag of reports.
     constexpr double usablePartOfObjective = 0.7;
@@ -15,7 +18,7 @@
     unsigned loadOf(const EndpointLoad& load)
     {
         // Reports lag, so this node's own count is a lower bound.
-        return std::max(load.reportedRunning + load.reportedQueued + load.startedSinceReport, load.ownInFlight);
+        return std::max(load.reportedRunning + load.reportedQueued + load.addedSinceReport, load.ownInFlight);
     }
 
     // Price of the engine's time that the request takes, plus the price of the work that is expected to be done again. A prefill has
@@ -72,19 +75,30 @@
     return request.promptTokens * (candidate.load.prefixCached ? 1 - options.cachedPart : 1);
 }
 
-double expectedFirstTokenSeconds(const RouteCandidate& candidate, const RouteRequest& request, const RouteOptions& options)
+double expectedWaitSeconds(const RouteCandidate& candidate, const RouteOptions& options)
 {
     const auto& load = candidate.load;
     auto ahead = loadOf(load);
-    double waiting = 0;
+    double forSlot = 0;
     if (ahead >= options.batchSlots)
-        waiting = (ahead - options.batchSlots + 1) * options.slotTurnSeconds / options.batchSlots;
-    // Prefills are done one after the other: those that waited at the time of the report, less what was done since, and those that
-    // were started since. The other nodes start about as many as this one.
-    double reported = std::max(0.0, load.reportedQueued * load.typicalTokens - load.reportAgeSeconds * options.prefillTokensPerSecond);
-    double backlog = reported + load.startedTokens * request.nodes;
-    double prefill = (backlog + uncachedTokens(candidate, request, options)) / options.prefillTokensPerSecond;
-    return waiting + prefill + options.tokenSeconds * (1 + ahead / static_cast<double>(options.batchSlots));
+        forSlot = (ahead - options.batchSlots + 1) * options.slotTurnSeconds / options.batchSlots;
+    return forSlot + load.backlogTokens / options.prefillTokensPerSecond;
+}
+
+double expectedFirstTokenSeconds(const RouteCandidate& candidate, const RouteRequest& request, const RouteOptions& options)
+{
+    double prefill = uncachedTokens(candidate, request, options) / options.prefillTokensPerSecond;
+    double firstStep = options.tokenSeconds * (1 + loadOf(candidate.load) / static_cast<double>(options.batchSlots));
+    return expectedWaitSeconds(candidate, options) + prefill + firstStep;
+}
+
+bool isTimely(const RouteCandidate& candidate, const RouteRequest& request, const RouteOptions& options, double part)
+{
+    double limit = part * std::chrono::duration<double>(request.objective.firstToken).count();
+    if (expectedFirstTokenSeconds(candidate, request, options) <= limit)
+        return true;
+    bool hasRoom = loadOf(candidate.load) < roomyPartOfSlots * options.batchSlots;
+    return hasRoom && expectedWaitSeconds(candidate, options) <= idleWaitSeconds;
 }
 
 Result<RoutePolicy> routePolicyNamed(const std::string& name)
--- a/modules/routing/route.h
+++ b/modules/routing/route.h
@@ -15,10 +15,8 @@
 struct EndpointLoad {
     unsigned reportedRunning { 0 };
     unsigned reportedQueued { 0 };
-    unsigned startedSinceReport { 0 }; // By this node, so not yet in the report.
-    double startedTokens { 0 }; // To be prefilled for those.
-    double typicalTokens { 0 }; // To be prefilled for one request, as this node has seen there lately.
-    double reportAgeSeconds { 0 };
+    unsigned addedSinceReport { 0 }; // By how much this node's own requests in flight have grown.
+    double backlogTokens { 0 }; // That are expected to wait for their prefill now.
     unsigned ownInFlight { 0 };
     bool prefixCached { false }; // This node has sent a prompt with this beginning there lately.
 
@@ -35,7 +33,6 @@
 struct RouteRequest {
     unsigned promptTokens { 0 };
     unsigned expectedTokens { 0 }; // Still to be generated.
-    unsigned nodes { 1 }; // Gateways that send requests to the same endpoints.
     std::uint64_t prefixHash { 0 }; // Of the prompt's beginning; 0 where the prompt does not matter.
     Objective objective {};
 
@@ -59,6 +56,10 @@
     std::string reason {};
 };
 
+// Whether a request may be sent to a candidate without being late: its first token is expected within `part` of the objective, or
+// the engine has room and nothing waits there: what takes long by itself would take as long at any other time.
+bool isTimely(const RouteCandidate&, const RouteRequest&, const RouteOptions&, double part);
+
 // A way to choose. `random` is a number that the policy may use; all else it must take from its arguments.
 using RoutePolicy = std::function<RouteDecision(const std::vector<RouteCandidate>&, const RouteRequest&, const RouteOptions&, std::uint64_t random)>;
 
@@ -68,6 +69,9 @@
 // Of a request's prompt at a candidate.
 double uncachedTokens(const RouteCandidate&, const RouteRequest&, const RouteOptions&);
 
+// Expected time until a request that is sent now is begun.
+double expectedWaitSeconds(const RouteCandidate&, const RouteOptions&);
+
 // Expected time to the first token at a candidate.
 double expectedFirstTokenSeconds(const RouteCandidate&, const RouteRequest&, const RouteOptions&);
 
--- a/tests/measure.cpp
+++ b/tests/measure.cpp
@@ -26,7 +26,7 @@
 
 std::vector<Policy> policies()
 {
-    Json baseline { { "reclaimPolicy", "prefill-again" }, { "objectiveFactor", 0 } };
+    Json baseline { { "reclaimPolicy", "prefill-again" }, { "timelyPart", 0 } };
     auto withRouting = [&](const char* name) {
         auto settings = baseline;
         settings["routingPolicy"] = name;
