--- a/tests/fakes/model_engine.cpp
+++ b/tests/fakes/model_engine.cpp
@@ -28,6 +28,7 @@
   --transfer-rate RATE   KV cache tokens a second between engines [default: 1000000].
   --load-ms TIME         Milliseconds that loading a model takes [default: 20].
   --report-lag-ms TIME   Age of load reports [default: 200].
+  --threads COUNT        Connections at once [default: 512].
   --ignore-fences        Obey orders with any fence.
 )";
 
@@ -383,7 +384,7 @@
 {
     CommandLine arguments(usage, argc, argv);
     StopSignal signal;
-    HttpServer server({ .port = static_cast<std::uint16_t>(std::stoi(arguments.text("--port"))), .threads = 512 });
+    HttpServer server({ .port = static_cast<std::uint16_t>(std::stoi(arguments.text("--port"))), .threads = static_cast<unsigned>(std::stoul(arguments.text("--threads"))) });
     ModelEngine engine(arguments);
     engine.addRoutes(server);
     return serve(server, signal);
--- /dev/null
+++ b/tests/slopes.cpp
@@ -0,0 +1,287 @@
+// Measures how the costs of a node grow, for docs/CAPACITY.md: prints a JSON line for each point, and the fitted slope of each series
+// with its residual. misc/slopes.sh runs it.
+#include "core/digest.h"
+#include "core/net/http_client.h"
+#include "tests/harness/cluster.h"
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+namespace {
+
+using namespace Onyxnotch;
+using namespace Onyxnotch::Tests;
+
+constexpr double bytesPerMegabyte = 1e6;
+
+double cpuSeconds(pid_t pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(file)), {});
+    // The fields after the command's name, which may hold blanks; 12 and 13 of them are user and system time.
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::vector<std::string> values((std::istream_iterator<std::string>(fields)), {});
+    return (std::stod(values.at(11)) + std::stod(values.at(12))) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double residentMegabytes(pid_t pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / bytesPerMegabyte;
+}
+
+// Points of one series, and the straight line through them.
+class Series {
+public:
+    Series(std::string name, std::string unit)
+        : m_name(std::move(name))
+        , m_unit(std::move(unit))
+    {
+    }
+
+    void add(double x, double y)
+    {
+        m_points.emplace_back(x, y);
+        std::cout << Json { { "series", m_name }, { "x", x }, { "y", y } }.dump() << std::endl;
+    }
+
+    void fit() const
+    {
+        double n = static_cast<double>(m_points.size());
+        double sumX = 0;
+        double sumY = 0;
+        double sumXX = 0;
+        double sumXY = 0;
+        for (const auto& [x, y] : m_points) {
+            sumX += x;
+            sumY += y;
+            sumXX += x * x;
+            sumXY += x * y;
+        }
+        double slope = (n * sumXY - sumX * sumY) / (n * sumXX - sumX * sumX);
+        double base = (sumY - slope * sumX) / n;
+        double residual = 0;
+        for (const auto& [x, y] : m_points)
+            residual = std::max(residual, std::abs(y - base - slope * x));
+        std::cout << Json { { "series", m_name }, { "unit", m_unit }, { "slope", slope }, { "base", base }, { "largest_residual", residual } }.dump() << std::endl;
+    }
+
+private:
+    std::string m_name;
+    std::string m_unit;
+    std::vector<std::pair<double, double>> m_points;
+};
+
+// As in operation: the harness's settings are faster.
+Json ordinaryMembership() { return { { "probePeriodMs", 500 }, { "probeTimeoutMs", 250 }, { "suspicionMs", 3000 } }; }
+
+ClusterOptions nodesOf(unsigned perZone)
+{
+    ClusterOptions options { .gatewaysPerZone = perZone, .controllers = 1 };
+    options.gatewaySettings = { { "httpThreads", 8 }, { "membership", ordinaryMembership() } };
+    options.controllerSettings = { { "membership", ordinaryMembership() } };
+    return options;
+}
+
+double sumMetric(const Cluster& cluster, std::vector<std::unique_ptr<GatewayProcess>>& gateways, const std::string& name)
+{
+    double sum = 0;
+    for (const auto& it : gateways)
+        sum += cluster.metric(*it, name);
+    return sum;
+}
+
+void sleepFor(Milliseconds duration) { std::this_thread::sleep_for(duration); }
+
+long objectCalls(const Cluster& cluster)
+{
+    auto counts = cluster.get(cluster.objects(), "/control");
+    return counts.value("read", 0L) + counts.value("write", 0L);
+}
+
+// What grows with the number of nodes.
+void measureNodes()
+{
+    Series bytes("gossip bytes sent a second by a node, against nodes", "bytes/s");
+    Series messages("gossip messages sent a second by a node, against nodes", "1/s");
+    Series cpu("processor time of an idle gateway, against nodes", "part of a core");
+    Series memory("resident memory of an idle gateway, against nodes", "MB");
+    Series calls("object API calls a second of all nodes in calm, against nodes", "1/s");
+    Series outage("object API calls a second of all nodes in an outage, against nodes", "1/s");
+    Series back("object API calls in the second after an outage, against nodes", "1/s");
+    Series change("time until a change is in force everywhere, against nodes", "ms");
+    Series mark("time until a leaving mark is everywhere, against nodes", "ms");
+    static constexpr Milliseconds window { 5000 };
+    for (unsigned perZone : { 3U, 9U, 18U, 27U }) {
+        Cluster cluster(nodesOf(perZone));
+        auto& gateways = cluster.gateways();
+        double nodes = static_cast<double>(gateways.size()) + 1;
+        if (!cluster.deploy(3))
+            return;
+        sleepFor(Milliseconds(8000)); // The news of the start has gone round.
+        auto seconds = std::chrono::duration<double>(window).count();
+        auto bytesBefore = sumMetric(cluster, gateways, "onyxnotch_gossip_bytes_sent_total");
+        auto messagesBefore = sumMetric(cluster, gateways, "onyxnotch_gossip_messages_sent_total");
+        auto callsBefore = objectCalls(cluster);
+        auto cpuBefore = cpuSeconds(gateways.back()->process->pid());
+        sleepFor(window);
+        cpu.add(nodes, (cpuSeconds(gateways.back()->process->pid()) - cpuBefore) / seconds);
+        calls.add(nodes, static_cast<double>(objectCalls(cluster) - callsBefore) / seconds);
+        auto perNode = seconds * static_cast<double>(gateways.size());
+        bytes.add(nodes, (sumMetric(cluster, gateways, "onyxnotch_gossip_bytes_sent_total") - bytesBefore) / perNode);
+        messages.add(nodes, (sumMetric(cluster, gateways, "onyxnotch_gossip_messages_sent_total") - messagesBefore) / perNode);
+        memory.add(nodes, residentMegabytes(gateways.back()->process->pid()));
+
+        auto version = cluster.get(gateways[0]->http, "/readyz").value("configuration_version", 0);
+        Json drain { { "kind", "Drain" }, { "name", "d" }, { "spec", { { "instance", "i-x" } } } };
+        cluster.apply({ { "objects", Json::array({ drain }) } });
+        auto began = steadyNow();
+        auto everywhere = [&](const std::function<bool(const GatewayProcess&)>& holds) { return std::all_of(gateways.begin(), gateways.end(), [&](const auto& it) { return holds(*it); }); };
+        waitUntil([&] { return everywhere([&](const GatewayProcess& it) { return cluster.get(it.http, "/readyz").value("configuration_version", 0) > version; }); });
+        change.add(nodes, std::chrono::duration<double, std::milli>(steadyNow() - began).count());
+
+        // The logs say when each node knew: asking them all would take longer than it does.
+        auto endpoint = cluster.get(cluster.cloud(), "/v1/instances")["instances"][0]["id"].get<std::string>();
+        auto since = wallMilliseconds();
+        cluster.post(cluster.cloud(), "/control/reclaim", { { "instances", Json::array({ endpoint }) }, { "time_left_ms", 60000 } });
+        double slowest = 0;
+        for (const auto& it : gateways) {
+            auto line = it->process->waitLine([&](const std::string& text) { return text.find("\"endpoint_leaving\"") != std::string::npos; }, Milliseconds(20000));
+            slowest = std::max(slowest, line ? static_cast<double>(Json::parse(*line)["time_ms"].get<std::uint64_t>() - since) : 20000.0);
+        }
+        mark.add(nodes, slowest);
+
+        cluster.post(cluster.objects(), "/control", { { "mode", "down" } });
+        sleepFor(Milliseconds(3000));
+        callsBefore = objectCalls(cluster);
+        sleepFor(window);
+        outage.add(nodes, static_cast<double>(objectCalls(cluster) - callsBefore) / seconds);
+        callsBefore = objectCalls(cluster);
+        cluster.post(cluster.objects(), "/control", Json::object());
+        sleepFor(Milliseconds(1000));
+        back.add(nodes, static_cast<double>(objectCalls(cluster) - callsBefore));
+    }
+    for (const auto* it : { &bytes, &messages, &cpu, &memory, &calls, &outage, &back, &change, &mark })
+        it->fit();
+}
+
+// What grows with the streams that are open through one gateway; a token each 79 ms.
+void measureStreams()
+{
+    Series cpu("processor time of a gateway, against open streams", "part of a core");
+    Series memory("resident memory of a gateway, against open streams", "MB");
+    Series rate("tokens a second through the gateway, against open streams", "1/s");
+    for (unsigned streams : { 200U, 600U, 1100U, 1650U }) {
+        ClusterOptions options { .zones = { "kushiro-hall" }, .controllers = 1, .engineArguments = { "--token-us", "79000", "--slots", "4000", "--threads", "2000" } };
+        options.gatewaySettings = { { "httpThreads", 2000 }, { "batchSlots", 4000 }, { "timelyPart", 0 }, { "maximumActive", 2000 } };
+        Cluster cluster(options);
+        if (!cluster.deploy(1))
+            return;
+        auto& gateway = cluster.gateway(0);
+        std::atomic<unsigned> open { 0 };
+        std::atomic<std::uint64_t> received { 0 };
+        std::vector<std::thread> callers;
+        for (unsigned n = 0; n < streams; ++n) {
+            callers.emplace_back([&, n] {
+                Client client({ .addresses = { gateway.http }, .key = Cluster::teamKey });
+                bool counted = false;
+                client.chat({ .service = "planner", .prompt = "stream " + std::to_string(n), .maximumTokens = 300 }, [&](const std::string& text) {
+                    open += counted ? 0 : 1;
+                    counted = true;
+                    received += static_cast<std::uint64_t>(std::count(text.begin(), text.end(), ' '));
+                });
+            });
+        }
+        waitUntil([&] { return open >= streams; }, Milliseconds(30000));
+        sleepFor(Milliseconds(1000));
+        auto cpuBefore = cpuSeconds(gateway.process->pid());
+        auto receivedBefore = received.load();
+        auto began = steadyNow();
+        sleepFor(Milliseconds(6000));
+        auto seconds = std::chrono::duration<double>(steadyNow() - began).count();
+        cpu.add(open, (cpuSeconds(gateway.process->pid()) - cpuBefore) / seconds);
+        memory.add(open, residentMegabytes(gateway.process->pid()));
+        rate.add(open, static_cast<double>(received - receivedBefore) / seconds);
+        // The engine ends every stream at once, so that the callers do.
+        gateway.process->kill();
+        for (auto& it : cluster.engines())
+            it.process->kill();
+        for (auto& it : callers)
+            it.join();
+    }
+    for (const auto* it : { &cpu, &memory, &rate })
+        it->fit();
+}
+
+// What grows with what is declared and what is there.
+void measureObjects()
+{
+    Series objects("resident memory of a gateway, against declared objects", "MB");
+    Series teams("resident memory of a gateway, against teams", "MB");
+    Series endpoints("resident memory of a gateway, against endpoints", "MB");
+    for (unsigned count : { 100U, 1000U, 3000U }) {
+        Cluster cluster({ .zones = { "kushiro-hall" }, .controllers = 0 });
+        auto declaration = cluster.declaration(1);
+        for (unsigned n = 0; n < count; ++n)
+            declaration["objects"].push_back({ { "kind", "Drain" }, { "name", "drain-" + std::to_string(n) }, { "spec", { { "instance", "i-" + std::to_string(n) } } } });
+        if (cluster.apply(declaration).exitCode != 0)
+            continue;
+        auto& gateway = cluster.gateway(0);
+        waitUntil([&] { return cluster.get(gateway.http, "/readyz").value("ready", false); });
+        objects.add(count, residentMegabytes(gateway.process->pid()));
+    }
+    for (unsigned count : { 100U, 1000U, 3000U }) {
+        Cluster cluster({ .zones = { "kushiro-hall" }, .controllers = 0 });
+        auto declaration = cluster.declaration(1);
+        for (unsigned n = 0; n < count; ++n) {
+            auto name = "team-" + std::to_string(n);
+            declaration["objects"].push_back({ { "kind", "Team" }, { "name", name }, { "spec", { { "keyDigests", Json::array({ sha256Hex(name) }) } } } });
+        }
+        if (cluster.apply(declaration).exitCode != 0)
+            continue;
+        auto& gateway = cluster.gateway(0);
+        waitUntil([&] { return cluster.get(gateway.http, "/readyz").value("ready", false); });
+        teams.add(count, residentMegabytes(gateway.process->pid()));
+    }
+    for (unsigned count : { 1100U, 5500U, 11000U }) {
+        Cluster cluster({ .zones = { "kushiro-hall" }, .controllers = 0 });
+        static constexpr unsigned zones = 11;
+        for (unsigned zone = 0; zone < zones; ++zone) {
+            Json list = Json::array();
+            for (unsigned n = 0; n < count / zones; ++n) {
+                auto id = "i-zone-" + std::to_string(zone) + "-" + std::to_string(n);
+                list.push_back({ { "id", id }, { "address", "127.0.0.1:9" }, { "zone", "zone-" + std::to_string(zone) }, { "class", "a10" }, { "market", "reclaimable" }, { "price_per_hour", 1.0 }, { "model", "" }, { "adapters", Json::array() } });
+            }
+            (void)sendHttp(cluster.objects(), { .method = "PUT", .path = "/v1/objects/status/endpoints/zone-" + std::to_string(zone), .headers = { { "If-None-Match", "*" } }, .body = Json { { "endpoints", list } }.dump() });
+        }
+        auto& gateway = cluster.gateway(0);
+        waitUntil([&] { return cluster.status(gateway).value("endpoints", Json::array()).size() >= count / zones * zones; });
+        endpoints.add(count, residentMegabytes(gateway.process->pid()));
+    }
+    for (const auto* it : { &objects, &teams, &endpoints })
+        it->fit();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::vector<std::string> words(argv + 1, argv + argc);
+    auto chosen = [&](const std::string& word) { return words.empty() || std::find(words.begin(), words.end(), word) != words.end(); };
+    if (chosen("nodes"))
+        measureNodes();
+    if (chosen("streams"))
+        measureStreams();
+    if (chosen("objects"))
+        measureObjects();
+    return 0;
+}
