Route to a bounded subset of endpoints; halve what membership sends

Cause, found by misc/slopes.sh: a gateway asked every endpoint for its load twice a second, 22,000 calls a second at 11,000 endpoints; and a member sent 2.25 KB a second while all nodes were new (2,166 to 2,254 B/s from 28 to 82 members), over the 2 KB that a node may spend with two members on it. Ruled out for the latter: growth with the fleet (the messages' size is bounded, 3.9 to 4.0 messages a second at every size). Now at most 64 endpoints of a model by highest random weight, a probe each second, and 3 members a message.

--- a/main/settings.cpp
+++ b/main/settings.cpp
@@ -49,8 +49,8 @@
             "type": "object", "additionalProperties": false, "default": {},
             "description": "How nodes watch each other.",
             "properties": {
-                "probePeriodMs": { "type": "integer", "minimum": 50, "default": 500, "description": "Time between two probes of this node." },
-                "probeTimeoutMs": { "type": "integer", "minimum": 10, "default": 250, "description": "Time after which other nodes are asked to probe as well." },
+                "probePeriodMs": { "type": "integer", "minimum": 50, "default": 1000, "description": "Time between two probes of this node." },
+                "probeTimeoutMs": { "type": "integer", "minimum": 10, "default": 400, "description": "Time after which other nodes are asked to probe as well." },
                 "suspicionMs": { "type": "integer", "minimum": 100, "default": 3000, "description": "Time in which a suspected node can show that it is alive." }
             }
         },
@@ -82,6 +82,7 @@
         "endpointWaitMs": { "type": "integer", "minimum": 0, "default": 5000, "description": "How long a request waits for an endpoint where none serves its model." },
         "drainLimitMs": { "type": "integer", "minimum": 0, "default": 30000, "description": "At a planned stop: time for requests to end before they are handed over." },
         "loadPeriodMs": { "type": "integer", "minimum": 50, "default": 500, "description": "Time between two load reports of an endpoint." },
+        "endpointSubset": { "type": "integer", "minimum": 1, "default": 64, "description": "Endpoints of one model that this gateway routes to, and whose load it asks for." },
         "timelyPart": { "type": "number", "minimum": 0, "default": 0.5, "description": "A model request is refused at once where no engine is idle and its first token is expected later than this part of its service's objective; 0: never." },
         "routingPolicy": { "enum": ["cheapest-in-time", "random", "least-reported-load", "two-choices"], "default": "cheapest-in-time", "description": "How endpoints are chosen; all but the default are baselines to measure against." },
         "reclaimPolicy": { "enum": ["least-recomputation", "prefill-again"], "default": "least-recomputation", "description": "What happens to streams of a leaving engine; 'prefill-again' is a baseline to measure against." },
@@ -213,6 +214,7 @@
     options.requests.runner.reclaim.transferTokensPerSecond = document.at("transferTokensPerSecond");
     options.requests.handover.callTimeout = milliseconds(document, "handoverTimeoutMs");
     options.requests.timelyPart = document.at("timelyPart");
+    options.endpointSubset = document.at("endpointSubset");
     options.routingPolicy = document.at("routingPolicy");
     options.requests.runner.reclaim.movesAllowed = document.at("reclaimPolicy") == "least-recomputation";
     options.routing.batchSlots = document.at("batchSlots");
--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -28,13 +28,19 @@
         return requests;
     }
 
+    EndpointDirectoryOptions directoryOptionsOf(const GatewayOptions& options, const Member& identity)
+    {
+        // The name has passed the settings' schema.
+        return { .node = identity.node, .subsetSize = options.endpointSubset, .routing = options.routing, .policy = routePolicyNamed(options.routingPolicy).value() };
+    }
+
 } // namespace
 
 Gateway::Gateway(const GatewayOptions& options)
     : m_options(options)
     , m_node(options.node)
     , m_loads({ .prefillTokensPerSecond = options.routing.prefillTokensPerSecond })
-    , m_directory(m_node.replica(), m_node.membership(), m_loads, options.routing, routePolicyNamed(options.routingPolicy).value())
+    , m_directory(m_node.replica(), m_node.membership(), m_loads, directoryOptionsOf(options, m_node.identity()))
     , m_requests(requestOptionsOf(options, m_node.identity()), m_node.replica(), m_node.membership(), m_directory, m_node.timers(), m_node.metrics())
     , m_http(options.http)
     , m_api(options.api, m_http, m_requests, m_node.replica(), m_node.membership(), m_node.metrics())
@@ -73,8 +79,8 @@
 
 void Gateway::pollLoads()
 {
-    for (const auto& it : m_directory.all()) {
-        if (m_stopping || it.model.empty() || m_directory.isLeaving(it.id))
+    for (const auto& it : *m_directory.subset()) {
+        if (m_stopping || m_directory.isLeaving(it.id))
             continue;
         auto load = EngineClient(it.address).load();
         if (!load)
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -13,6 +13,7 @@
     std::uint16_t advertisedHttpPort { 0 }; // 0 for the bound one.
     GatewayApiOptions api {};
     RequestServerOptions requests {};
+    std::size_t endpointSubset { 64 };
     RouteOptions routing {};
     std::string routingPolicy { "cheapest-in-time" };
     Milliseconds drainLimit { 30000 }; // For requests in flight to end at a planned stop, before they are handed over.
--- a/modules/request/endpoint_directory.cpp
+++ b/modules/request/endpoint_directory.cpp
@@ -1,17 +1,17 @@
 #include "modules/request/endpoint_directory.h"
 
 #include "core/digest.h"
+#include "modules/routing/endpoint_subset.h"
 #include <algorithm>
 #include <random>
 
 namespace Onyxnotch {
 
-EndpointDirectory::EndpointDirectory(const StateReplica& replica, const MembershipServer& membership, LoadTracker& loads, const RouteOptions& options, RoutePolicy policy)
+EndpointDirectory::EndpointDirectory(const StateReplica& replica, const MembershipServer& membership, LoadTracker& loads, EndpointDirectoryOptions options)
     : m_replica(replica)
     , m_membership(membership)
     , m_loads(loads)
-    , m_options(options)
-    , m_policy(std::move(policy))
+    , m_options(std::move(options))
 {
 }
 
@@ -51,11 +51,9 @@
         bool hasAdapter = spec->adapter.empty() || std::find(it.adapters.begin(), it.adapters.end(), spec->adapter) != it.adapters.end();
         return it.model == model->name.name && hasAdapter && !excluded.contains(it.id) && !isLeaving(it.id);
     };
-    for (const auto& [zone, endpoints] : state->zones) {
-        for (const auto& it : endpoints.endpoints) {
-            if (serves(it))
-                chosen.push_back({ .endpoint = it, .load = m_loads.load(it.id, prefixHash) });
-        }
+    for (const auto& it : *subset()) {
+        if (serves(it))
+            chosen.push_back({ .endpoint = it, .load = m_loads.load(it.id, prefixHash) });
     }
     markPrefixHome(chosen, prefixHash);
     return chosen;
@@ -73,9 +71,9 @@
     double limit = part * std::chrono::duration<double>(request.objective.firstToken).count();
     std::optional<double> shortest;
     for (const auto& it : candidates(service, request.prefixHash, {})) {
-        if (isTimely(it, request, m_options, part))
+        if (isTimely(it, request, m_options.routing, part))
             return std::nullopt;
-        auto late = expectedFirstTokenSeconds(it, request, m_options) - limit;
+        auto late = expectedFirstTokenSeconds(it, request, m_options.routing) - limit;
         shortest = std::min(shortest.value_or(late), late);
     }
     if (!shortest)
@@ -86,7 +84,7 @@
 RouteDecision EndpointDirectory::choose(const std::vector<RouteCandidate>& candidates, const RouteRequest& request) const
 {
     thread_local std::mt19937_64 random { std::random_device {}() };
-    return m_policy(candidates, request, m_options, random());
+    return m_options.policy(candidates, request, m_options.routing, random());
 }
 
 std::vector<PlainEndpoint> EndpointDirectory::plainEndpoints(const std::string& service) const
@@ -129,6 +127,18 @@
     return std::nullopt;
 }
 
+std::shared_ptr<const std::vector<Endpoint>> EndpointDirectory::subset() const
+{
+    auto state = m_replica.state();
+    auto known = std::atomic_load(&m_subset);
+    if (!known || known->state != state) {
+        // Two readers that do this at once make the same.
+        known = std::make_shared<Subset>(Subset { .state = state, .endpoints = chooseSubset(all(), m_options.node, m_options.subsetSize) });
+        std::atomic_store(&m_subset, known);
+    }
+    return { known, &known->endpoints };
+}
+
 std::vector<Endpoint> EndpointDirectory::all() const
 {
     auto state = m_replica.state();
--- a/modules/request/endpoint_directory.h
+++ b/modules/request/endpoint_directory.h
@@ -18,9 +18,16 @@
     bool operator==(const ServedModel&) const = default;
 };
 
+struct EndpointDirectoryOptions {
+    std::string node {};
+    std::size_t subsetSize { 64 }; // Endpoints of one model that this node routes to.
+    RouteOptions routing {};
+    RoutePolicy policy {};
+};
+
 class EndpointDirectory {
 public:
-    EndpointDirectory(const StateReplica&, const MembershipServer&, LoadTracker&, const RouteOptions&, RoutePolicy);
+    EndpointDirectory(const StateReplica&, const MembershipServer&, LoadTracker&, EndpointDirectoryOptions);
 
     // The endpoints that serve the service's model version, without leaving ones and those in `excluded`.
     std::vector<RouteCandidate> candidates(const std::string& service, std::uint64_t prefixHash, const std::set<std::string>& excluded) const;
@@ -29,7 +36,7 @@
     // Of those the one that routing chooses, with the reason.
     RouteDecision choose(const std::vector<RouteCandidate>&, const RouteRequest&) const;
     // Tokens that the engine will have to prefill.
-    double expectedPrefill(const RouteCandidate& candidate, const RouteRequest& request) const { return uncachedTokens(candidate, request, m_options); }
+    double expectedPrefill(const RouteCandidate& candidate, const RouteRequest& request) const { return uncachedTokens(candidate, request, m_options.routing); }
     // Fixed endpoints of a plain service that are not leaving.
     std::vector<PlainEndpoint> plainEndpoints(const std::string& service) const;
 
@@ -39,6 +46,8 @@
     std::optional<Milliseconds> timeLeft(const std::string& endpoint) const;
     std::optional<Endpoint> find(const std::string& endpoint) const;
     std::vector<Endpoint> all() const;
+    // Those that this node routes to; made anew when the shared state has changed.
+    std::shared_ptr<const std::vector<Endpoint>> subset() const;
     // What a model service is served by; empty for none.
     std::optional<ServedModel> servedModel(const std::string& service) const;
 
@@ -48,11 +57,17 @@
     unsigned gatewayCount() const;
 
 private:
+    // The part of the endpoints that follows from one state.
+    struct Subset {
+        std::shared_ptr<const SharedState> state {};
+        std::vector<Endpoint> endpoints {};
+    };
+
     const StateReplica& m_replica;
     const MembershipServer& m_membership;
     LoadTracker& m_loads;
-    RouteOptions m_options;
-    RoutePolicy m_policy;
+    EndpointDirectoryOptions m_options;
+    mutable std::shared_ptr<const Subset> m_subset;
 };
 
 } // namespace Onyxnotch
--- a/servers/membership/membership_server.h
+++ b/servers/membership/membership_server.h
@@ -28,11 +28,12 @@
     std::string listenHost {}; // Where the datagram socket is bound; others are told what `self` says.
     std::uint16_t listenPort { 0 };
     std::vector<Address> seeds {}; // Peer addresses of nodes to ask at the start.
-    Milliseconds probePeriod { 500 };
-    Milliseconds probeTimeout { 250 }; // Then indirect probes are sent; at the end of the period the member is suspect.
+    Milliseconds probePeriod { 1000 };
+    Milliseconds probeTimeout { 400 }; // Then indirect probes are sent; at the end of the period the member is suspect.
     unsigned indirectProbes { 2 };
     unsigned pushFanOut { 3 }; // Nodes that urgent news goes to at once.
-    unsigned maximumMembersPerMessage { 4 };
+    // With the probe period this bounds what a node sends, however much news there is: about 0.9 KB a second.
+    unsigned maximumMembersPerMessage { 3 };
     unsigned maximumMarksPerMessage { 24 };
     std::size_t maximumMarks { 65536 };
     MemberTableOptions table {};
