--- a/core/net/http_client.cpp
+++ b/core/net/http_client.cpp
@@ -1,6 +1,6 @@
 #include "core/net/http_client.h"
 
-#include <algorithm>
+#include "core/text.h"
 #include <atomic>
 #include <cctype>
 #include <httplib.h>
@@ -9,12 +9,6 @@
 
 namespace {
 
-    std::string lowerCase(std::string text)
-    {
-        std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
-        return text;
-    }
-
     std::string percentEncode(const std::string& text)
     {
         static constexpr std::string_view digits = "0123456789ABCDEF";
--- a/core/net/http_server.cpp
+++ b/core/net/http_server.cpp
@@ -1,7 +1,6 @@
 #include "core/net/http_server.h"
 
-#include <algorithm>
-#include <cctype>
+#include "core/text.h"
 #include <httplib.h>
 #include <thread>
 
@@ -14,12 +13,6 @@
     constexpr std::size_t requestsPerConnection = 100000;
     constexpr int listenBacklog = 1024;
 
-    std::string lowerCase(std::string text)
-    {
-        std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
-        return text;
-    }
-
     HttpRequest fromLibrary(const httplib::Request& source)
     {
         HttpRequest request { .method = source.method, .path = source.path, .query = {}, .headers = {}, .body = source.body, .captures = {} };
--- /dev/null
+++ b/core/net/http_status.h
@@ -0,0 +1,21 @@
+// The HTTP status codes that are used here (RFC 9110).
+#pragma once
+
+namespace Onyxnotch::HttpStatus {
+
+constexpr int ok = 200;
+constexpr int seeOther = 303;
+constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
+constexpr int forbidden = 403;
+constexpr int notFound = 404;
+constexpr int conflict = 409;
+constexpr int preconditionFailed = 412;
+constexpr int rangeNotSatisfiable = 416;
+constexpr int preconditionRequired = 428;
+constexpr int tooManyRequests = 429;
+constexpr int badGateway = 502;
+constexpr int serviceUnavailable = 503;
+constexpr int gatewayTimeout = 504;
+
+} // namespace Onyxnotch::HttpStatus
--- /dev/null
+++ b/core/text.h
@@ -0,0 +1,17 @@
+// Small helpers for texts.
+#pragma once
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+
+namespace Onyxnotch {
+
+// ASCII letters only.
+inline std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+} // namespace Onyxnotch
--- a/modules/client/client.cpp
+++ b/modules/client/client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/json_decode.h"
 #include "core/net/http_client.h"
+#include "core/net/http_status.h"
 #include "core/net/server_sent_events.h"
 #include <algorithm>
 #include <thread>
@@ -14,8 +15,6 @@
 
     constexpr Milliseconds maximumBackoff { 1000 };
     constexpr Milliseconds addressCallTimeout { 2000 };
-    constexpr int unauthorized = 401;
-    constexpr int conflict = 409;
     constexpr auto outcomeHeader = "onyxnotch-outcome";
     constexpr auto requestIdHeader = "onyxnotch-request-id";
 
@@ -104,7 +103,7 @@
             last = reply.error();
             continue;
         }
-        if (reply.value().status == unauthorized)
+        if (reply.value().status == HttpStatus::unauthorized)
             return Error { ErrorCode::Unauthorized, "the key is not known" };
         auto document = decodeJson<Json>(reply.value().body, ErrorCode::Unavailable, "addresses", [](const Json& parsed) { return parsed.contains("addresses") ? parsed : throw std::invalid_argument("no addresses"); });
         if (!document) {
@@ -264,7 +263,7 @@
     state.answer.outcome = error.outcome;
     state.answer.reason = error.message;
     state.answer.retryAfter = error.retryAfter;
-    if (status == conflict || (resumes && error.outcome == RequestOutcome::Unknown && state.call.ticket.empty())) {
+    if (status == HttpStatus::conflict || (resumes && error.outcome == RequestOutcome::Unknown && state.call.ticket.empty())) {
         // The answer is lost or went on differently: a model request may be asked again from the start.
         state.id.clear();
         state.position.clear();
--- a/modules/gateway/gateway_api.cpp
+++ b/modules/gateway/gateway_api.cpp
@@ -1,6 +1,7 @@
 #include "modules/gateway/gateway_api.h"
 
 #include "core/digest.h"
+#include "core/net/http_status.h"
 #include "modules/request/chat_protocol.h"
 #include <array>
 #include <charconv>
@@ -23,13 +24,6 @@
     constexpr Milliseconds relaySilence { 310000 };
     constexpr double millisecondsPerSecond = 1000;
 
-    constexpr int seeOther = 303;
-    constexpr int badRequest = 400;
-    constexpr int unauthorized = 401;
-    constexpr int notFound = 404;
-    constexpr int conflict = 409;
-    constexpr int serviceUnavailable = 503;
-
     std::string dump(const Json& document)
     {
         return document.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -48,15 +42,15 @@
     {
         switch (outcome) {
         case RequestOutcome::NotRun:
-            return 503;
+            return HttpStatus::serviceUnavailable;
         case RequestOutcome::Unknown:
-            return 504;
+            return HttpStatus::gatewayTimeout;
         case RequestOutcome::Running:
         case RequestOutcome::Completed:
         case RequestOutcome::Failed:
-            return 502;
+            return HttpStatus::badGateway;
         }
-        return 502;
+        return HttpStatus::badGateway;
     }
 
     // Where a caller stopped reading: "ATTEMPT:OFFSET".
@@ -129,8 +123,8 @@
     server.route("GET", "/healthz", [](const HttpRequest&) { return jsonResponse(200, { { "alive", true } }); });
     server.route("GET", "/readyz", [this](const HttpRequest&) { return readiness(); });
     server.route("GET", "/metrics", [this](const HttpRequest&) { return HttpResponse { .contentType = "text/plain; version=0.0.4", .body = m_metrics.serialize() }; });
-    server.route("GET", "/v1/status", [this](const HttpRequest& request) { return isOperator(request) ? status() : jsonResponse(unauthorized, { { "error", "operator key needed" } }); });
-    server.route("GET", "/v1/explain/([^/]+)", [this](const HttpRequest& request) { return isOperator(request) ? explain(request) : jsonResponse(unauthorized, { { "error", "operator key needed" } }); });
+    server.route("GET", "/v1/status", [this](const HttpRequest& request) { return isOperator(request) ? status() : jsonResponse(HttpStatus::unauthorized, { { "error", "operator key needed" } }); });
+    server.route("GET", "/v1/explain/([^/]+)", [this](const HttpRequest& request) { return isOperator(request) ? explain(request) : jsonResponse(HttpStatus::unauthorized, { { "error", "operator key needed" } }); });
     server.route("GET", "/v1/addresses", guarded(&GatewayApi::addresses));
     server.route("GET", "/v1/models", guarded(&GatewayApi::models));
     server.route("POST", "/v1/chat/completions", guarded(&GatewayApi::chat));
@@ -161,7 +155,7 @@
 {
     auto caller = authenticate(request);
     if (!caller)
-        return answerError({ .outcome = RequestOutcome::NotRun, .httpStatus = unauthorized, .reason = "unknown key" }, {});
+        return answerError({ .outcome = RequestOutcome::NotRun, .httpStatus = HttpStatus::unauthorized, .reason = "unknown key" }, {});
     return (this->*handler)(request, *caller);
 }
 
@@ -180,7 +174,7 @@
     unsigned count = 0;
     auto [end, ec] = std::from_chars(wanted.data(), wanted.data() + wanted.size(), count);
     if (!wanted.empty() && (ec != std::errc() || end != wanted.data() + wanted.size() || count > m_options.maximumTicketsPerCall))
-        return answerError({ .outcome = RequestOutcome::NotRun, .httpStatus = badRequest, .reason = "tickets must be a number up to " + std::to_string(m_options.maximumTicketsPerCall) }, {});
+        return answerError({ .outcome = RequestOutcome::NotRun, .httpStatus = HttpStatus::badRequest, .reason = "tickets must be a number up to " + std::to_string(m_options.maximumTicketsPerCall) }, {});
     Json body { { "addresses", m_requests.addresses(m_options.addressCount) }, { "valid_ms", m_options.addressesValid.count() }, { "tickets", Json::array() } };
     // A leaving node's tickets would have to be looked for elsewhere at once.
     for (unsigned n = 0; n < count && !m_requests.leaving(); ++n)
@@ -202,7 +196,7 @@
 {
     auto chatRequest = parseChatRequest(request.body);
     if (!chatRequest)
-        return answerError({ .outcome = RequestOutcome::NotRun, .httpStatus = badRequest, .reason = chatRequest.error().message }, {});
+        return answerError({ .outcome = RequestOutcome::NotRun, .httpStatus = HttpStatus::badRequest, .reason = chatRequest.error().message }, {});
     auto accepted = m_requests.acceptModel(caller, chatRequest.value(), request.header(ticketHeader), !request.header(forwardedHeader).empty());
     if (accepted.forwardTo)
         return relay(request, *accepted.forwardTo, accepted.requestId);
@@ -224,9 +218,9 @@
     auto text = request.queryValue("last_event_id");
     auto position = parsePosition(text.empty() ? request.header("last-event-id") : text);
     if (!position)
-        return answerError({ .outcome = RequestOutcome::Failed, .httpStatus = badRequest, .reason = "the last event id is not ATTEMPT:OFFSET" }, id);
+        return answerError({ .outcome = RequestOutcome::Failed, .httpStatus = HttpStatus::badRequest, .reason = "the last event id is not ATTEMPT:OFFSET" }, id);
     if (!found.request->answer().continues(position->attempt, position->offset))
-        return answerError({ .outcome = RequestOutcome::Failed, .httpStatus = conflict, .reason = "this answer does not go on from there; read it from the start" }, id);
+        return answerError({ .outcome = RequestOutcome::Failed, .httpStatus = HttpStatus::conflict, .reason = "this answer does not go on from there; read it from the start" }, id);
     return streamAnswer(found.request, position->offset, false);
 }
 
@@ -310,7 +304,7 @@
         }
         auto addresses = part.moved ? m_requests.movedTo(description.id) : std::vector<std::string>();
         if (!addresses.empty()) {
-            response.status = seeOther;
+            response.status = HttpStatus::seeOther;
             response.headers.emplace("Location", "http://" + addresses.front() + "/v1/requests/" + description.id + "?whole=1");
             break;
         }
@@ -378,7 +372,7 @@
         return response.value();
     }
     // Also where the call was never sent: an earlier copy may have run there.
-    RequestError error { .outcome = RequestOutcome::Unknown, .httpStatus = 504, .reason = "the node that answers for this request cannot be reached: " + response.error().message };
+    RequestError error { .outcome = RequestOutcome::Unknown, .httpStatus = HttpStatus::gatewayTimeout, .reason = "the node that answers for this request cannot be reached: " + response.error().message };
     return answerError(error, id);
 }
 
@@ -388,7 +382,7 @@
     bool ready = version > 0 && !m_requests.leaving();
     auto reason = version == 0 ? "no configuration yet" : m_requests.leaving() ? "leaving"
                                                                                : "";
-    return jsonResponse(ready ? 200 : serviceUnavailable, { { "ready", ready }, { "reason", reason }, { "configuration_version", version } });
+    return jsonResponse(ready ? 200 : HttpStatus::serviceUnavailable, { { "ready", ready }, { "reason", reason }, { "configuration_version", version } });
 }
 
 HttpResponse GatewayApi::status() const
@@ -420,7 +414,7 @@
     if (entries.empty() && found.forwardTo)
         return relay(request, *found.forwardTo, id);
     if (entries.empty())
-        return jsonResponse(notFound, { { "error", "nothing is known about this request here" } });
+        return jsonResponse(HttpStatus::notFound, { { "error", "nothing is known about this request here" } });
     Json body { { "request_id", id }, { "trace", Json::array() } };
     for (const auto& it : entries)
         body["trace"].push_back({ { "time_ms", it.wallTime }, { "node", it.node }, { "event", it.event }, { "detail", it.detail } });
--- a/modules/gateway/request_server.cpp
+++ b/modules/gateway/request_server.cpp
@@ -1,6 +1,7 @@
 #include "modules/gateway/request_server.h"
 
 #include "core/log.h"
+#include "core/net/http_status.h"
 #include "modules/request/chat_protocol.h"
 #include <algorithm>
 #include <random>
@@ -22,14 +23,6 @@
     constexpr Milliseconds shortestComeBack { 100 };
     constexpr Milliseconds longestComeBack { 5000 };
 
-    constexpr int badRequest = 400;
-    constexpr int forbidden = 403;
-    constexpr int notFound = 404;
-    constexpr int preconditionRequired = 428;
-    constexpr int tooManyRequests = 429;
-    constexpr int serviceUnavailable = 503;
-    constexpr int gatewayTimeout = 504;
-
     RequestError refusal(int status, std::string reason, Milliseconds retryAfter = Milliseconds(0))
     {
         return { .outcome = RequestOutcome::NotRun, .httpStatus = status, .reason = std::move(reason), .retryAfter = retryAfter };
@@ -37,7 +30,7 @@
 
     RequestError unknownOutcome(std::string reason)
     {
-        return { .outcome = RequestOutcome::Unknown, .httpStatus = gatewayTimeout, .reason = std::move(reason) };
+        return { .outcome = RequestOutcome::Unknown, .httpStatus = HttpStatus::gatewayTimeout, .reason = std::move(reason) };
     }
 
 } // namespace
@@ -109,7 +102,7 @@
 {
     auto ticket = parseTicket(text);
     if (!ticket)
-        return { .error = refusal(badRequest, ticket.error().message) };
+        return { .error = refusal(HttpStatus::badRequest, ticket.error().message) };
     auto place = locate(ticket.value(), forwarded);
     if (place.here)
         return decideHere(caller, ticket.value(), repeatable);
@@ -126,7 +119,7 @@
 {
     auto decision = m_ledgers.admit(ticket, caller.team);
     if (!decision && decision.error().code == ErrorCode::Unauthorized)
-        return { .error = refusal(forbidden, decision.error().message) };
+        return { .error = refusal(HttpStatus::forbidden, decision.error().message) };
     if (!decision)
         return { .error = unknownOutcome(decision.error().message) };
     switch (decision.value().verdict) {
@@ -135,9 +128,9 @@
     case LedgerVerdict::Known:
         return decideKnown(*decision.value().entry, repeatable);
     case LedgerVerdict::Refused:
-        return { .error = refusal(serviceUnavailable, "this ticket was refused before", m_options.comeBack) };
+        return { .error = refusal(HttpStatus::serviceUnavailable, "this ticket was refused before", m_options.comeBack) };
     case LedgerVerdict::Full:
-        return { .error = refusal(serviceUnavailable, "the request ledger of this node is full", m_options.comeBack) };
+        return { .error = refusal(HttpStatus::serviceUnavailable, "the request ledger of this node is full", m_options.comeBack) };
     case LedgerVerdict::Expired:
         if (repeatable)
             return { .startAfresh = true };
@@ -164,7 +157,7 @@
 RequestServer::TicketDecision RequestServer::enterFresh(const Caller& caller, bool mayHaveRunElsewhere)
 {
     auto refuse = [&](const std::string& reason) {
-        return mayHaveRunElsewhere ? unknownOutcome(reason) : refusal(serviceUnavailable, reason, m_options.comeBack);
+        return mayHaveRunElsewhere ? unknownOutcome(reason) : refusal(HttpStatus::serviceUnavailable, reason, m_options.comeBack);
     };
     if (m_leaving) {
         auto error = refuse("this node is leaving");
@@ -207,9 +200,9 @@
     const auto* object = state->configuration.find({ .kind = ObjectKind::Service, .name = service });
     const auto* spec = object ? std::get_if<ServiceSpec>(&object->spec) : nullptr;
     if (!spec || spec->type != type)
-        return refusal(notFound, "no such service: " + service);
+        return refusal(HttpStatus::notFound, "no such service: " + service);
     if (!caller.services.matches(object->labels))
-        return refusal(forbidden, "team " + caller.team + " may not call " + service);
+        return refusal(HttpStatus::forbidden, "team " + caller.team + " may not call " + service);
     return std::nullopt;
 }
 
@@ -227,7 +220,7 @@
     m_metrics.increment("onyxnotch_admissions_total", { { "team", caller.team }, { "result", refused ? "refused" : "accepted" } });
     if (!refused)
         return std::nullopt;
-    return refusal(tooManyRequests, refused->reason, refused->retryAfter);
+    return refusal(HttpStatus::tooManyRequests, refused->reason, refused->retryAfter);
 }
 
 std::optional<RequestError> RequestServer::latenessError(const Caller& caller, const ChatRequest& chat) const
@@ -242,7 +235,7 @@
         return std::nullopt;
     auto retryAfter = std::clamp(*late, shortestComeBack, longestComeBack);
     m_metrics.increment("onyxnotch_admissions_total", { { "team", caller.team }, { "result", "too_late" } });
-    return refusal(tooManyRequests, "every endpoint is too busy for the objective of " + chat.service, retryAfter);
+    return refusal(HttpStatus::tooManyRequests, "every endpoint is too busy for the objective of " + chat.service, retryAfter);
 }
 
 Acceptance RequestServer::acceptModel(const Caller& caller, const ChatRequest& chat, const std::string& ticket, bool forwarded)
@@ -306,7 +299,7 @@
         return acceptance;
     auto ticket = parseTicket(requestId);
     if (!ticket) {
-        acceptance.error = refusal(notFound, "no such request");
+        acceptance.error = refusal(HttpStatus::notFound, "no such request");
         return acceptance;
     }
     auto place = locate(ticket.value(), forwarded);
@@ -319,9 +312,9 @@
     if (!acceptance.forwardTo) {
         acceptance.error = unknownOutcome("the request is not known here any more");
         if (place.here && !entry)
-            acceptance.error = RequestError { .outcome = RequestOutcome::Unknown, .httpStatus = notFound, .reason = "no such request, or one too old to tell" };
+            acceptance.error = RequestError { .outcome = RequestOutcome::Unknown, .httpStatus = HttpStatus::notFound, .reason = "no such request, or one too old to tell" };
         if (entry && entry->outcome == RequestOutcome::NotRun)
-            acceptance.error = refusal(serviceUnavailable, "the request was refused", m_options.comeBack);
+            acceptance.error = refusal(HttpStatus::serviceUnavailable, "the request was refused", m_options.comeBack);
     }
     return acceptance;
 }
@@ -332,7 +325,7 @@
     // Another team's request looks like one that does not exist.
     if (acceptance.request && acceptance.request->description().team != caller.team) {
         acceptance.request = nullptr;
-        acceptance.error = refusal(notFound, "no such request");
+        acceptance.error = refusal(HttpStatus::notFound, "no such request");
     }
     return acceptance;
 }
@@ -349,7 +342,7 @@
         return acceptance;
     request.repeatable = m_replica.state()->configuration.service(request.service)->repeatable;
     if (ticket.empty() && !request.repeatable) {
-        acceptance.error = refusal(preconditionRequired, "a call that may not be repeated needs a ticket");
+        acceptance.error = refusal(HttpStatus::preconditionRequired, "a call that may not be repeated needs a ticket");
         acceptance.error->ticket = m_leaving ? std::string() : issueTicket(caller);
         acceptance.error->addresses = m_leaving ? addresses(4) : std::vector<std::string>();
         return acceptance;
@@ -424,7 +417,7 @@
         return acceptance;
     }
     if (entry->outcome == RequestOutcome::NotRun) {
-        acceptance.error = refusal(serviceUnavailable, "the request was refused", m_options.comeBack);
+        acceptance.error = refusal(HttpStatus::serviceUnavailable, "the request was refused", m_options.comeBack);
         return acceptance;
     }
     acceptance.answer = PlainAnswer { .outcome = entry->outcome, .httpStatus = entry->httpStatus, .contentType = "application/json", .body = entry->body };
--- a/modules/request/plain_call.cpp
+++ b/modules/request/plain_call.cpp
@@ -1,4 +1,5 @@
 #include "modules/request/plain_call.h"
+#include "core/net/http_status.h"
 
 #include <algorithm>
 #include <random>
@@ -8,7 +9,6 @@
 
 namespace {
 
-    constexpr int serviceUnavailable = 503;
     // With status 503: the endpoint's positive word that it has not started the call.
     constexpr auto notStartedHeader = "onyxnotch-not-started";
 
@@ -87,7 +87,7 @@
     auto onHeaders = [&](const HttpReply& reply) {
         answer.httpStatus = reply.status;
         answer.contentType = reply.header("content-type");
-        notStarted = reply.status == serviceUnavailable && !reply.header(notStartedHeader).empty();
+        notStarted = reply.status == HttpStatus::serviceUnavailable && !reply.header(notStartedHeader).empty();
         return true;
     };
     auto onData = [&](std::string_view data) {
--- a/servers/engine/engine_client.cpp
+++ b/servers/engine/engine_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/json_decode.h"
 #include "core/net/http_client.h"
+#include "core/net/http_status.h"
 #include "core/net/server_sent_events.h"
 
 namespace Onyxnotch {
@@ -10,9 +11,6 @@
 
     using Json = nlohmann::json;
 
-    constexpr int notFound = 404;
-    constexpr int conflict = 409;
-    constexpr int rangeNotSatisfiable = 416;
     constexpr Milliseconds silenceLimit { 5000 };
     constexpr Milliseconds cancelTimeout { 500 };
 
@@ -29,9 +27,9 @@
 
     EngineStreamEnd refusalOf(int status)
     {
-        if (status == notFound)
+        if (status == HttpStatus::notFound)
             return EngineStreamEnd::Gone;
-        if (status == rangeNotSatisfiable)
+        if (status == HttpStatus::rangeNotSatisfiable)
             return EngineStreamEnd::WrongOffset;
         return EngineStreamEnd::NotStarted;
     }
@@ -118,7 +116,7 @@
 {
     Json body { { "order_id", order.orderId }, { "fence", order.fence }, { "model", order.model }, { "weights", order.weights }, { "adapters", order.adapters } };
     BOOST_OUTCOME_TRY(reply, sendHttp(m_address, { .method = "POST", .path = "/v1/orders", .headers = {}, .body = body.dump(), .readTimeout = timeout }));
-    if (reply.status == conflict)
+    if (reply.status == HttpStatus::conflict)
         return Error { ErrorCode::Conflict, "engine refused the order: " + reply.body };
     if (!reply.ok())
         return Error { ErrorCode::Ambiguous, "engine order: HTTP " + std::to_string(reply.status) + " " + reply.body };
--- a/servers/platform/cloud_client.cpp
+++ b/servers/platform/cloud_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/json_decode.h"
 #include "core/net/http_client.h"
+#include "core/net/http_status.h"
 
 namespace Onyxnotch {
 
@@ -9,7 +10,6 @@
 
     using Json = nlohmann::json;
 
-    constexpr int conflict = 409;
     constexpr Milliseconds callTimeout { 2000 };
 
     Market marketFromText(const std::string& text)
@@ -41,7 +41,7 @@
         if (request.readTimeout < callTimeout)
             request.readTimeout = callTimeout;
         BOOST_OUTCOME_TRY(reply, sendHttp(address, request));
-        if (reply.status == conflict)
+        if (reply.status == HttpStatus::conflict)
             return Error { ErrorCode::Exhausted, "cloud: no capacity: " + reply.body };
         if (!reply.ok())
             return Error { ErrorCode::Ambiguous, "cloud: HTTP " + std::to_string(reply.status) + " " + reply.body };
--- a/servers/platform/object_client.cpp
+++ b/servers/platform/object_client.cpp
@@ -2,6 +2,7 @@
 
 #include "core/json_decode.h"
 #include "core/net/http_client.h"
+#include "core/net/http_status.h"
 
 namespace Onyxnotch {
 
@@ -9,10 +10,6 @@
 
     using Json = nlohmann::json;
 
-    constexpr int preconditionFailed = 412;
-    constexpr int tooManyRequests = 429;
-    constexpr int notFound = 404;
-
     StoredObject objectFromJson(const Json& document)
     {
         return StoredObject {
@@ -26,11 +23,11 @@
     Error errorOf(const HttpReply& reply, const std::string& what)
     {
         auto text = what + ": HTTP " + std::to_string(reply.status) + " " + reply.body;
-        if (reply.status == preconditionFailed)
+        if (reply.status == HttpStatus::preconditionFailed)
             return Error { ErrorCode::Conflict, text };
-        if (reply.status == tooManyRequests)
+        if (reply.status == HttpStatus::tooManyRequests)
             return Error { ErrorCode::Exhausted, text };
-        if (reply.status == notFound)
+        if (reply.status == HttpStatus::notFound)
             return Error { ErrorCode::NotFound, text };
         if (reply.status >= 500)
             return Error { ErrorCode::Ambiguous, text };
@@ -63,7 +60,7 @@
 {
     HttpCall call { .path = "/v1/objects/" + key, .connectTimeout = m_options.connectTimeout, .readTimeout = m_options.callTimeout };
     BOOST_OUTCOME_TRY(reply, sendHttp(m_options.address, call));
-    if (reply.status == notFound)
+    if (reply.status == HttpStatus::notFound)
         return std::optional<StoredObject>();
     if (!reply.ok())
         return errorOf(reply, "get " + key);
