--- a/modules/gateway/request_server.cpp
+++ b/modules/gateway/request_server.cpp
@@ -70,11 +70,18 @@
 
 std::optional<Member> RequestServer::waitSuccessor() const
 {
-    // The ledgers are being given just now, which takes a few messages.
+    // The ledgers are being given just now, which takes a few messages. Where the answer to them was lost, the node that has them
+    // says so itself.
     auto limit = steadyNow() + successorWait;
-    while (!m_handover.successor() && steadyNow() < limit)
+    while (steadyNow() < limit) {
+        if (auto successor = m_handover.successor())
+            return successor;
+        auto announced = m_membership.view()->answeringNode(m_options.node, m_options.incarnation);
+        if (announced && announced->node != m_options.node)
+            return announced;
         std::this_thread::sleep_for(successorPoll);
-    return m_handover.successor();
+    }
+    return std::nullopt;
 }
 
 void RequestServer::resolveGiven(TicketDecision& decision, bool forwarded) const
--- a/tests/promises/test_at_most_once.cpp
+++ b/tests/promises/test_at_most_once.cpp
@@ -179,6 +179,31 @@
     BOOST_CHECK_EQUAL(completed, callers.size());
 }
 
+// The successor has the ledger, but the giver never hears of it: no second node gets it, and the successor says itself that it has it.
+BOOST_AUTO_TEST_CASE(the_answer_to_a_handover_is_lost)
+{
+    Cluster cluster(site({ { "handoverTimeoutMs", 300 } }, true));
+    BOOST_REQUIRE(cluster.deploy(1));
+    auto& home = cluster.gateway(0);
+    Caller used(home);
+    Caller unused(home);
+    BOOST_CHECK(used.send(home).outcome == RequestOutcome::Completed);
+    for (std::size_t n : { 1, 2 })
+        cluster.setFault(cluster.gateway(n).peerForward, { { "drop_down", true } });
+    cluster.post(cluster.cloud(), "/control/reclaim", { { "instances", Json::array({ home.instance }) }, { "time_left_ms", 3000 } });
+    auto offered = home.process->waitEvent("ledgers_offered", longWait);
+    BOOST_REQUIRE(offered);
+    BOOST_CHECK(offered->find("unclear") != std::string::npos);
+    home.process->wait(longWait);
+    for (std::size_t n : { 1, 2 }) {
+        BOOST_CHECK(used.send(cluster.gateway(n)).outcome == RequestOutcome::Completed);
+        BOOST_CHECK(unused.send(cluster.gateway(n)).outcome == RequestOutcome::Completed);
+    }
+    BOOST_CHECK_EQUAL(runsOf(cluster, used.ticket), 1);
+    BOOST_CHECK_EQUAL(runsOf(cluster, unused.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.serviceRuns().size(), 2);
+}
+
 BOOST_AUTO_TEST_CASE(the_service_answers_after_the_caller_gave_up)
 {
     Cluster cluster(site());
