--- a/main/settings_reference.cpp
+++ b/main/settings_reference.cpp
@@ -31,7 +31,9 @@
             auto key = prefix + name;
             auto standard = member.contains("properties") ? std::string() : member.contains("default") ? "`" + member["default"].dump() + "`"
                                                                                                        : "required";
-            table += "| `" + key + "` | " + typeOf(member) + " | " + standard + " | " + member.value("description", "") + " |\n";
+            for (const auto& cell : { "`" + key + "`", typeOf(member), standard, member.value("description", "") })
+                table += "| " + cell + " ";
+            table += "|\n";
             if (member.contains("properties"))
                 addRows(member, key + ".", table);
         }
--- a/tests/promises/test_bad_input.cpp
+++ b/tests/promises/test_bad_input.cpp
@@ -73,12 +73,12 @@
         for (const auto& port : { gateway.http, gateway.peer }) {
             auto socket = connectTo(context, port);
             asio::error_code ignored;
-            auto bytes = n % 2 == 0 ? garbage(random, 1 + n * 7) : frame.substr(0, n % frame.size());
+            auto bytes = n % 2 == 0 ? garbage(random, 1 + std::size_t(n) * 7) : frame.substr(0, n % frame.size());
             asio::write(socket, asio::buffer(bytes), ignored);
             socket.shutdown(tcp::socket::shutdown_send, ignored);
             readAll(socket);
         }
-        auto bytes = n % 2 == 0 ? garbage(random, n * 11) : frame.substr(0, n % frame.size());
+        auto bytes = n % 2 == 0 ? garbage(random, std::size_t(n) * 11) : frame.substr(0, n % frame.size());
         datagrams.send_to(asio::buffer(bytes), asio::ip::udp::endpoint(asio::ip::make_address(gossip.host), gossip.port));
     }
     // An unknown version gets an answer that says so.
--- a/tests/promises/test_not_run.cpp
+++ b/tests/promises/test_not_run.cpp
@@ -83,8 +83,10 @@
     BOOST_REQUIRE(cluster.deploy(1));
     auto client = cluster.client();
     cluster.post(cluster.service(), "/control", { { "hold", true } });
-    auto [first, home] = ticketFrom(cluster.gateway(0));
-    auto running = std::async(std::launch::async, [&, first = first, home = home] { return client.callOnce(home, "release", "/release", "{}", first); });
+    const auto taken = ticketFrom(cluster.gateway(0));
+    const auto& first = taken.first;
+    const auto& home = taken.second;
+    auto running = std::async(std::launch::async, [&] { return client.callOnce(home, "release", "/release", "{}", first); });
     BOOST_REQUIRE(waitUntil([&] { return runsOf(cluster, first) == 1; }));
     auto [second, sameHome] = ticketFrom(cluster.gateway(0));
     auto began = steadyNow();
@@ -95,7 +97,7 @@
     BOOST_CHECK_EQUAL(refused.httpStatus, 429);
     BOOST_CHECK_GT(refused.retryAfter.count(), 0);
     // A repeat of the running one is over the other gateway's head as well: it is passed to the home, whose limit does not refuse it.
-    auto repeat = std::async(std::launch::async, [&, first = first] { return client.callOnce(cluster.gateway(1).http, "release", "/release", "{}", first); });
+    auto repeat = std::async(std::launch::async, [&] { return client.callOnce(cluster.gateway(1).http, "release", "/release", "{}", first); });
     cluster.post(cluster.service(), "/control", { { "hold", false } });
     BOOST_CHECK(running.get().outcome == RequestOutcome::Completed);
     BOOST_CHECK(repeat.get().outcome == RequestOutcome::Completed);
@@ -168,8 +170,8 @@
     auto& other = cluster.gateway(1);
     Client client({ .addresses = { home.http }, .key = Cluster::teamKey });
     cluster.post(cluster.service(), "/control", { { "hold", true } });
-    auto [ticket, address] = ticketFrom(cluster.gateway(0));
-    auto running = std::async(std::launch::async, [&, ticket = ticket] { return client.callOnce(home.http, "release", "/release", "{}", ticket); });
+    const auto ticket = ticketFrom(cluster.gateway(0)).first;
+    auto running = std::async(std::launch::async, [&] { return client.callOnce(home.http, "release", "/release", "{}", ticket); });
     BOOST_REQUIRE(waitUntil([&] { return runsOf(cluster, ticket) == 1; }));
     cluster.cutOff(home, true);
     // At first the other node still believes that the home is there, later it does not: the answer is the same.
--- a/tests/servers/membership/test_leaving_marks.cpp
+++ b/tests/servers/membership/test_leaving_marks.cpp
@@ -1,5 +1,6 @@
 #include "servers/membership/leaving_marks.h"
 #include "tests/property.h"
+#include <algorithm>
 
 using namespace Onyxnotch;
 
@@ -9,15 +10,17 @@
 {
     Tests::checkProperty("any order, any repeats", [](const std::vector<std::pair<unsigned char, unsigned char>>& values) {
         std::vector<LeavingMark> marks;
+        marks.reserve(values.size());
         for (const auto& [name, when] : values)
             marks.push_back({ .endpoint = std::string(1, static_cast<char>('a' + name % 4)), .deadlineWallMilliseconds = when % 5U, .source = static_cast<LeavingSource>(name % 4) });
         LeavingMarks forwards;
         LeavingMarks backwards;
         for (const auto& it : marks)
             forwards.add(it);
-        for (auto it = marks.rbegin(); it != marks.rend(); ++it) {
-            backwards.add(*it);
-            backwards.add(*it);
+        std::reverse(marks.begin(), marks.end());
+        for (const auto& it : marks) {
+            backwards.add(it);
+            backwards.add(it);
         }
         RC_ASSERT(forwards.marks() == backwards.marks());
     });
--- a/tests/servers/membership/test_member_table.cpp
+++ b/tests/servers/membership/test_member_table.cpp
@@ -1,6 +1,7 @@
 #include "servers/membership/member_table.h"
 #include "servers/membership/news_queue.h"
 #include "tests/property.h"
+#include <algorithm>
 
 using namespace Onyxnotch;
 
@@ -29,8 +30,9 @@
         MemberTable backwards(memberNamed("self"), {});
         for (const auto& it : news)
             forwards.apply(it, now);
-        for (auto it = news.rbegin(); it != news.rend(); ++it)
-            backwards.apply(*it, now);
+        std::reverse(news.begin(), news.end());
+        for (const auto& it : news)
+            backwards.apply(it, now);
         RC_ASSERT(forwards.members() == backwards.members());
     });
 }
--- a/tests/slopes.cpp
+++ b/tests/slopes.cpp
@@ -269,7 +269,7 @@
             (void)sendHttp(cluster.objects(), { .method = "PUT", .path = "/v1/objects/status/endpoints/zone-" + std::to_string(zone), .headers = { { "If-None-Match", "*" } }, .body = Json { { "endpoints", list } }.dump() });
         }
         auto& gateway = cluster.gateway(0);
-        waitUntil([&] { return cluster.status(gateway).value("endpoints", Json::array()).size() >= count / zones * zones; });
+        waitUntil([&] { return cluster.status(gateway).value("endpoints", Json::array()).size() >= std::size_t(count / zones) * zones; });
         endpoints.add(count, residentMegabytes(gateway.process->pid()));
     }
     for (const auto* it : { &objects, &teams, &endpoints })
