--- a/tests/demo.cpp
+++ b/tests/demo.cpp
@@ -37,6 +37,13 @@
         auto explained = runProgram("onyxnotch", { "explain", m_lastRequest, "--gateway", m_cluster.gateway(0).http.text() });
         std::cout << explained.output;
         check(explained.exitCode == 0, "the request can be explained");
+
+        step("What runs: onyxnotch status");
+        auto status = runProgram("onyxnotch", { "status", "--gateway", m_cluster.gateway(0).http.text(), "--objects", m_cluster.objects().text() });
+        auto document = Json::parse(status.output, nullptr, false);
+        check(status.exitCode == 0 && document.is_object(), "the status can be read");
+        std::cout << document.value("members", Json::array()).size() << " members, " << document.value("endpoints", Json::array()).size() << " endpoints, plan of "
+                  << document.value("plan", Json::object()).value("slots", Json::array()).size() << " slots, configuration version " << document.value("configuration_version", 0) << std::endl;
         std::cout << (m_ok ? "\nEvery answer was whole." : "\nFAILED") << std::endl;
         return m_ok ? 0 : 1;
     }
