Keep the word of a call that ends while its ledger is being offered

A call that ended after its ledger was marked as given and before the successor had answered found no successor to tell, so its outcome was lost and the successor said 'unknown'. Ruled out: a second run and a lost gossip message (the succession was known). Such words are now kept and sent with the successor's answer.

--- a/modules/request/handover.cpp
+++ b/modules/request/handover.cpp
@@ -123,11 +123,15 @@
             m_metrics.increment("onyxnotch_handover_unclear_total");
             return false;
         }
+        std::vector<std::string> pending;
         {
             std::lock_guard lock(m_mutex);
             m_successor = target;
+            pending.swap(m_pendingUpdates);
         }
         announce(target, offers);
+        for (const auto& it : pending)
+            sendUpdate(it);
         return true;
     }
     m_ledgers.takeBackAll();
@@ -185,7 +189,13 @@
 
 void Handover::sendUpdate(const std::string& requestId)
 {
-    auto target = successor();
+    std::optional<Member> target;
+    {
+        std::lock_guard lock(m_mutex);
+        target = m_successor;
+        if (!target)
+            m_pendingUpdates.push_back(requestId);
+    }
     auto entry = m_ledgers.find(requestId);
     auto ticket = parseTicket(requestId);
     if (!target || !entry || !ticket)
--- a/modules/request/handover.h
+++ b/modules/request/handover.h
@@ -58,7 +58,8 @@
     bool giveLedgers(SteadyTime deadline);
     // Stops the requests' threads and gives the requests away. `left` gets those that nobody took.
     HandoverReport giveRequests(std::vector<std::shared_ptr<ActiveRequest>>, SteadyTime deadline, const MovedHook& moved, const LeftHook& left);
-    // Tells the successor how an entry ended here after its ledger was given.
+    // Tells the successor how an entry ended here after its ledger was given. Before the successor has answered the offer, the word is
+    // kept and sent then.
     void sendUpdate(const std::string& requestId);
     std::optional<Member> successor() const;
 
@@ -83,6 +84,7 @@
     std::optional<Member> m_successor {};
     std::uint32_t m_generation { 0 };
     bool m_offered { false };
+    std::vector<std::string> m_pendingUpdates;
 };
 
 } // namespace Onyxnotch
