Look drained instances up instead of scanning every object; count a ticket's runs in one place

isLeaving() went through all declared objects for each candidate of each request; the configuration now keeps the set, as it does for key digests. The two test files shared runsOf(), which the harness now has. Behaviour and assertions are the same.

--- a/modules/declaration/configuration.cpp
+++ b/modules/declaration/configuration.cpp
@@ -153,6 +153,7 @@
         for (const auto& digest : team.keyDigests)
             m_teamsByKeyDigest.emplace(digest, object.name);
     });
+    forEach<DrainSpec>([this](const DeclaredObject&, const DrainSpec& drain) { m_drainedInstances.insert(drain.instance); });
 }
 
 Result<Configuration> Configuration::with(const ConfigurationChange& change) const
--- a/modules/declaration/configuration.h
+++ b/modules/declaration/configuration.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace Onyxnotch {
 
@@ -39,6 +40,8 @@
     const ServiceSpec* service(const std::string& name) const;
     // The team whose key has this SHA-256 digest.
     const DeclaredObject* teamByKeyDigest(const std::string& digest) const;
+    // Whether an operator has taken the instance out of service.
+    bool isDrained(const std::string& instance) const { return m_drainedInstances.contains(instance); }
     // The highest model version that the service's selector selects.
     const DeclaredObject* modelVersionFor(const ServiceSpec&) const;
 
@@ -58,6 +61,7 @@
     std::uint64_t m_version { 0 };
     std::map<ObjectName, DeclaredObject> m_objects {};
     std::map<std::string, ObjectName> m_teamsByKeyDigest {};
+    std::set<std::string> m_drainedInstances {};
 };
 
 Result<Configuration> configurationFromJson(const nlohmann::json&);
--- a/modules/request/endpoint_directory.cpp
+++ b/modules/request/endpoint_directory.cpp
@@ -102,9 +102,7 @@
 {
     if (m_membership.view()->marks.contains(endpoint))
         return true;
-    bool drained = false;
-    m_replica.state()->configuration.forEach<DrainSpec>([&](const DeclaredObject&, const DrainSpec& drain) { drained |= drain.instance == endpoint; });
-    return drained;
+    return m_replica.state()->configuration.isDrained(endpoint);
 }
 
 std::optional<Milliseconds> EndpointDirectory::timeLeft(const std::string& endpoint) const
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -277,6 +277,13 @@
     return path;
 }
 
+long Cluster::runsOf(const std::string& requestId) const
+{
+    auto runs = serviceRuns();
+    auto it = runs.find(requestId);
+    return it == runs.end() ? 0 : it->second;
+}
+
 std::map<std::string, long> Cluster::serviceRuns() const
 {
     return get(m_service, "/control/runs").get<std::map<std::string, long>>();
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -101,6 +101,8 @@
     const Forward& serviceForward() const { return m_serviceForward; }
     std::string writeFile(const std::string& name, const std::string& text) const;
     std::map<std::string, long> serviceRuns() const;
+    // How often the plain service ran a request.
+    long runsOf(const std::string& requestId) const;
 
 private:
     void startPlatform();
--- a/tests/promises/test_at_most_once.cpp
+++ b/tests/promises/test_at_most_once.cpp
@@ -11,13 +11,6 @@
     return { .zones = { "kushiro-hall", "nemuro-hall", "obihiro-hall" }, .controllers = 1, .gatewayProxies = proxies, .gatewaySettings = std::move(gatewaySettings) };
 }
 
-long runsOf(const Cluster& cluster, const std::string& id)
-{
-    auto runs = cluster.serviceRuns();
-    auto it = runs.find(id);
-    return it == runs.end() ? 0 : it->second;
-}
-
 // A caller that knows one gateway only, with a ticket of it.
 struct Caller {
     explicit Caller(const GatewayProcess& home)
@@ -68,7 +61,7 @@
             BOOST_CHECK_MESSAGE(answer.outcome == RequestOutcome::Completed, answer.reason);
             BOOST_CHECK(answer.text.find(R"("ran":1)") != std::string::npos);
         }
-        BOOST_CHECK_EQUAL(runsOf(cluster, caller.ticket), 1);
+        BOOST_CHECK_EQUAL(cluster.runsOf(caller.ticket), 1);
         // Nor did a copy run under another id.
         BOOST_CHECK_EQUAL(cluster.serviceRuns().size(), round + 1);
     }
@@ -83,7 +76,7 @@
     BOOST_CHECK_EQUAL(stranger.callOnce(cluster.gateway(0).http, "release", "/release", "{}", caller.ticket).httpStatus, 403);
     BOOST_CHECK_EQUAL(stranger.callOnce(cluster.gateway(1).http, "release", "/release", "{}", caller.ticket).httpStatus, 403);
     BOOST_CHECK(caller.send(cluster.gateway(0)).outcome == RequestOutcome::Completed);
-    BOOST_CHECK_EQUAL(runsOf(cluster, caller.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(caller.ticket), 1);
 }
 
 BOOST_AUTO_TEST_CASE(the_home_is_killed_and_a_new_process_starts_in_its_place)
@@ -93,7 +86,7 @@
     Caller caller(cluster.gateway(0));
     hold(cluster, true);
     auto running = caller.sendInBackground(cluster.gateway(0));
-    BOOST_REQUIRE(waitUntil([&] { return runsOf(cluster, caller.ticket) == 1; }));
+    BOOST_REQUIRE(waitUntil([&] { return cluster.runsOf(caller.ticket) == 1; }));
     cluster.gateway(0).process->kill();
     BOOST_CHECK(running.get().outcome == RequestOutcome::Unknown);
     BOOST_CHECK(caller.send(cluster.gateway(1)).outcome == RequestOutcome::Unknown);
@@ -101,7 +94,7 @@
     hold(cluster, false);
     BOOST_CHECK(caller.send(next).outcome == RequestOutcome::Unknown);
     BOOST_CHECK(waitUntil([&] { return caller.send(cluster.gateway(1)).outcome == RequestOutcome::Unknown; }));
-    BOOST_CHECK_EQUAL(runsOf(cluster, caller.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(caller.ticket), 1);
 }
 
 BOOST_AUTO_TEST_CASE(the_home_is_frozen_past_the_expiry_and_woken)
@@ -113,7 +106,7 @@
     Caller unused(home);
     hold(cluster, true);
     auto running = used.sendInBackground(home);
-    BOOST_REQUIRE(waitUntil([&] { return runsOf(cluster, used.ticket) == 1; }));
+    BOOST_REQUIRE(waitUntil([&] { return cluster.runsOf(used.ticket) == 1; }));
     auto issuedAt = steadyNow();
     home.process->signal(SIGSTOP);
     // The copy waits in the frozen home's socket.
@@ -127,8 +120,8 @@
     BOOST_CHECK(waiting.get().outcome == RequestOutcome::Unknown);
     BOOST_CHECK(running.get().outcome == RequestOutcome::Completed);
     BOOST_CHECK(waitUntil([&] { return used.send(cluster.gateway(1)).outcome == RequestOutcome::Completed; }));
-    BOOST_CHECK_EQUAL(runsOf(cluster, used.ticket), 1);
-    BOOST_CHECK_EQUAL(runsOf(cluster, unused.ticket), 0);
+    BOOST_CHECK_EQUAL(cluster.runsOf(used.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(unused.ticket), 0);
 }
 
 BOOST_AUTO_TEST_CASE(the_home_is_cut_off_one_way)
@@ -143,7 +136,7 @@
     BOOST_CHECK(caller.send(cluster.gateway(1)).outcome == RequestOutcome::Unknown);
     BOOST_CHECK(caller.send(home).outcome == RequestOutcome::Completed);
     BOOST_CHECK(caller.send(cluster.gateway(2)).outcome == RequestOutcome::Unknown);
-    BOOST_CHECK_EQUAL(runsOf(cluster, caller.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(caller.ticket), 1);
 }
 
 BOOST_AUTO_TEST_CASE(handover_and_repeats_race)
@@ -171,7 +164,7 @@
     for (const auto& it : callers) {
         auto last = it->send(cluster.gateway(1));
         completed += last.outcome == RequestOutcome::Completed ? 1 : 0;
-        auto runs = runsOf(cluster, it->ticket);
+        auto runs = cluster.runsOf(it->ticket);
         BOOST_CHECK_LE(runs, 1);
         BOOST_CHECK(!(saidNotRun[it->ticket] && runs > 0));
     }
@@ -199,8 +192,8 @@
         BOOST_CHECK(used.send(cluster.gateway(n)).outcome == RequestOutcome::Completed);
         BOOST_CHECK(unused.send(cluster.gateway(n)).outcome == RequestOutcome::Completed);
     }
-    BOOST_CHECK_EQUAL(runsOf(cluster, used.ticket), 1);
-    BOOST_CHECK_EQUAL(runsOf(cluster, unused.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(used.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(unused.ticket), 1);
     BOOST_CHECK_EQUAL(cluster.serviceRuns().size(), 2);
 }
 
@@ -216,7 +209,7 @@
     hold(cluster, false);
     auto repeat = caller.send(cluster.gateway(2));
     BOOST_CHECK(repeat.outcome == RequestOutcome::Completed);
-    BOOST_CHECK_EQUAL(runsOf(cluster, caller.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(caller.ticket), 1);
 }
 
 BOOST_AUTO_TEST_CASE(a_call_in_flight_when_its_gateway_leaves)
@@ -228,7 +221,7 @@
     Caller stuck(home);
     hold(cluster, true);
     auto first = ending.sendInBackground(home);
-    BOOST_REQUIRE(waitUntil([&] { return runsOf(cluster, ending.ticket) == 1; }));
+    BOOST_REQUIRE(waitUntil([&] { return cluster.runsOf(ending.ticket) == 1; }));
     cluster.post(cluster.cloud(), "/control/reclaim", { { "instances", Json::array({ home.instance }) }, { "time_left_ms", 3000 } });
     BOOST_REQUIRE(home.process->waitEvent("ledgers_offered", longWait));
     // It ends while the notice runs: the caller gets its answer, and the successor learns it.
@@ -237,8 +230,8 @@
     BOOST_CHECK_EQUAL(home.process->wait(longWait).value_or(-1), 0);
     BOOST_CHECK(ending.send(cluster.gateway(1)).outcome == RequestOutcome::Completed);
     BOOST_CHECK(stuck.send(cluster.gateway(1)).outcome == RequestOutcome::Completed);
-    BOOST_CHECK_EQUAL(runsOf(cluster, ending.ticket), 1);
-    BOOST_CHECK_EQUAL(runsOf(cluster, stuck.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(ending.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(stuck.ticket), 1);
 }
 
 BOOST_AUTO_TEST_CASE(a_call_that_outlasts_the_notice_is_unknown)
@@ -249,13 +242,13 @@
     Caller caller(home);
     hold(cluster, true);
     auto running = caller.sendInBackground(home);
-    BOOST_REQUIRE(waitUntil([&] { return runsOf(cluster, caller.ticket) == 1; }));
+    BOOST_REQUIRE(waitUntil([&] { return cluster.runsOf(caller.ticket) == 1; }));
     cluster.post(cluster.cloud(), "/control/reclaim", { { "instances", Json::array({ home.instance }) }, { "time_left_ms", 1500 } });
     BOOST_CHECK(running.get().outcome == RequestOutcome::Unknown);
     home.process->wait(longWait);
     BOOST_CHECK(caller.send(cluster.gateway(1)).outcome == RequestOutcome::Unknown);
     hold(cluster, false);
-    BOOST_CHECK_EQUAL(runsOf(cluster, caller.ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(caller.ticket), 1);
 }
 
 BOOST_AUTO_TEST_CASE(an_expired_ticket)
@@ -267,7 +260,7 @@
     waitUntil([&] { return steadyNow() - issuedAt > Milliseconds(150); });
     BOOST_CHECK(caller.send(cluster.gateway(0)).outcome == RequestOutcome::Unknown);
     BOOST_CHECK(caller.send(cluster.gateway(1)).outcome == RequestOutcome::Unknown);
-    BOOST_CHECK_EQUAL(runsOf(cluster, caller.ticket), 0);
+    BOOST_CHECK_EQUAL(cluster.runsOf(caller.ticket), 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/promises/test_not_run.cpp
+++ b/tests/promises/test_not_run.cpp
@@ -11,13 +11,6 @@
     return { .zones = { "kushiro-hall", "nemuro-hall" }, .controllers = 1, .serviceProxy = true };
 }
 
-long runsOf(const Cluster& cluster, const std::string& id)
-{
-    auto runs = cluster.serviceRuns();
-    auto it = runs.find(id);
-    return it == runs.end() ? 0 : it->second;
-}
-
 // A ticket whose home is that gateway, with its address.
 std::pair<std::string, Address> ticketFrom(const GatewayProcess& gateway)
 {
@@ -46,10 +39,10 @@
             BOOST_CHECK(answer.outcome == RequestOutcome::Unknown);
             // A repeat does not run it either, and does not say that it was not run.
             cluster.setFault(cluster.serviceForward(), Json::object());
-            auto before = runsOf(cluster, ticket);
+            auto before = cluster.runsOf(ticket);
             auto repeat = client.callOnce(home, "release", "/release", "{}", ticket);
             BOOST_CHECK(repeat.outcome == RequestOutcome::Unknown);
-            BOOST_CHECK_EQUAL(runsOf(cluster, ticket), before);
+            BOOST_CHECK_EQUAL(cluster.runsOf(ticket), before);
             bool reachedTheEnd = fault.contains("cut_down_after");
             BOOST_CHECK_EQUAL(before, reachedTheEnd ? 1 : 0);
         }
@@ -69,7 +62,7 @@
     cluster.post(cluster.service(), "/control", { { "refuse", false } });
     // The same ticket is used up: a late copy does not run.
     BOOST_CHECK(client.callOnce(home, "release", "/release", "{}", ticket).outcome == RequestOutcome::NotRun);
-    BOOST_CHECK_EQUAL(runsOf(cluster, ticket), 0);
+    BOOST_CHECK_EQUAL(cluster.runsOf(ticket), 0);
     cluster.plainService().kill();
     auto [second, sameHome] = ticketFrom(cluster.gateway(0));
     BOOST_CHECK(client.callOnce(sameHome, "release", "/release", "{}", second).outcome == RequestOutcome::NotRun);
@@ -87,7 +80,7 @@
     const auto& first = taken.first;
     const auto& home = taken.second;
     auto running = std::async(std::launch::async, [&] { return client.callOnce(home, "release", "/release", "{}", first); });
-    BOOST_REQUIRE(waitUntil([&] { return runsOf(cluster, first) == 1; }));
+    BOOST_REQUIRE(waitUntil([&] { return cluster.runsOf(first) == 1; }));
     auto [second, sameHome] = ticketFrom(cluster.gateway(0));
     auto began = steadyNow();
     auto refused = client.callOnce(sameHome, "release", "/release", "{}", second);
@@ -102,8 +95,8 @@
     BOOST_CHECK(running.get().outcome == RequestOutcome::Completed);
     BOOST_CHECK(repeat.get().outcome == RequestOutcome::Completed);
     BOOST_CHECK(client.callOnce(sameHome, "release", "/release", "{}", second).outcome == RequestOutcome::NotRun);
-    BOOST_CHECK_EQUAL(runsOf(cluster, second), 0);
-    BOOST_CHECK_EQUAL(runsOf(cluster, first), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(second), 0);
+    BOOST_CHECK_EQUAL(cluster.runsOf(first), 1);
 }
 
 BOOST_AUTO_TEST_CASE(a_full_ledger_refuses_for_good)
@@ -120,7 +113,7 @@
     auto [ticket, home] = ticketFrom(cluster.gateway(0));
     auto refused = client.callOnce(home, "release", "/release", "{}", ticket);
     BOOST_CHECK(refused.outcome == RequestOutcome::NotRun);
-    BOOST_CHECK_EQUAL(runsOf(cluster, ticket), 0);
+    BOOST_CHECK_EQUAL(cluster.runsOf(ticket), 0);
 }
 
 BOOST_AUTO_TEST_CASE(a_deadline_that_passes_in_the_middle_is_no_not_run)
@@ -133,7 +126,7 @@
     cluster.post(cluster.service(), "/control", { { "hold", true } });
     auto [ticket, home] = ticketFrom(cluster.gateway(0));
     BOOST_CHECK(client.callOnce(home, "release", "/release", "{}", ticket).outcome == RequestOutcome::Unknown);
-    BOOST_CHECK_EQUAL(runsOf(cluster, ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(ticket), 1);
     cluster.post(cluster.service(), "/control", { { "hold", false } });
 }
 
@@ -172,7 +165,7 @@
     cluster.post(cluster.service(), "/control", { { "hold", true } });
     const auto ticket = ticketFrom(cluster.gateway(0)).first;
     auto running = std::async(std::launch::async, [&] { return client.callOnce(home.http, "release", "/release", "{}", ticket); });
-    BOOST_REQUIRE(waitUntil([&] { return runsOf(cluster, ticket) == 1; }));
+    BOOST_REQUIRE(waitUntil([&] { return cluster.runsOf(ticket) == 1; }));
     cluster.cutOff(home, true);
     // At first the other node still believes that the home is there, later it does not: the answer is the same.
     for (unsigned n = 0; n < 2; ++n) {
@@ -182,11 +175,11 @@
     }
     cluster.post(cluster.service(), "/control", { { "hold", false } });
     BOOST_CHECK(running.get().outcome == RequestOutcome::Completed);
-    BOOST_CHECK_EQUAL(runsOf(cluster, ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(ticket), 1);
     cluster.cutOff(home, false);
     // Healed, the other node asks the home again and repeats its answer.
     BOOST_CHECK(waitUntil([&] { return client.callOnce(other.http, "release", "/release", "{}", ticket).outcome == RequestOutcome::Completed; }));
-    BOOST_CHECK_EQUAL(runsOf(cluster, ticket), 1);
+    BOOST_CHECK_EQUAL(cluster.runsOf(ticket), 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
