Hold the list of endpoints while a loop reads it; wait for callers, not for a count, in the drain test

Cause: promise.LeavingEndpoint failed now and then beside load (KNOWN-RED) because a gateway crashed. A core shows LoadTracker::report comparing freed strings: Gateway::pollLoads and EndpointDirectory::candidates loop over *subset(), whose temporary owner ends before the loop begins; a changed list frees what the loop reads. Ruled out: threads running out (the crash comes with four copies at once). It now waits until each caller has ended the request that it was in; what begins after the marks must not reach the endpoint, as before.

--- a/modules/gateway/gateway.cpp
+++ b/modules/gateway/gateway.cpp
@@ -79,7 +79,9 @@
 
 void Gateway::pollLoads()
 {
-    for (const auto& it : *m_directory.subset()) {
+    // Held here: another thread may put a new one in its place while this one waits for an engine.
+    auto endpoints = m_directory.subset();
+    for (const auto& it : *endpoints) {
         if (m_stopping || m_directory.isLeaving(it.id))
             continue;
         auto load = EngineClient(it.address).load();
--- a/modules/request/endpoint_directory.cpp
+++ b/modules/request/endpoint_directory.cpp
@@ -51,7 +51,8 @@
         bool hasAdapter = spec->adapter.empty() || std::find(it.adapters.begin(), it.adapters.end(), spec->adapter) != it.adapters.end();
         return it.model == model->name.name && hasAdapter && !excluded.contains(it.id) && !isLeaving(it.id);
     };
-    for (const auto& it : *subset()) {
+    auto endpoints = subset();
+    for (const auto& it : *endpoints) {
         if (serves(it))
             chosen.push_back({ .endpoint = it, .load = m_loads.load(it.id, prefixHash) });
     }
--- a/tests/promises/test_leaving_endpoint.cpp
+++ b/tests/promises/test_leaving_endpoint.cpp
@@ -14,6 +14,7 @@
 class SteadyLoad {
 public:
     explicit SteadyLoad(Cluster& cluster)
+        : m_ended(cluster.gateways().size() * 2)
     {
         for (std::size_t n = 0; n < cluster.gateways().size() * 2; ++n)
             m_threads.emplace_back([this, n, address = cluster.gateway(n % cluster.gateways().size()).http] { run(n, address); });
@@ -34,6 +35,21 @@
     unsigned broken() const { return m_broken; }
     unsigned whole() const { return m_whole; }
 
+    // Waits until every caller has ended the request that it is in now: it may have been given its endpoint before now.
+    bool waitTurn() const
+    {
+        std::vector<unsigned> before;
+        for (const auto& it : m_ended)
+            before.push_back(it);
+        return waitUntil([&] {
+            for (std::size_t n = 0; n < before.size(); ++n) {
+                if (m_ended[n] == before[n])
+                    return false;
+            }
+            return true;
+        });
+    }
+
 private:
     void run(std::size_t n, const Address& address)
     {
@@ -43,6 +59,7 @@
             auto answer = client.chat({ .service = "planner", .prompt = prompt, .maximumTokens = 5 });
             bool whole = answer.outcome == RequestOutcome::Completed && answer.text == Fakes::expectedAnswer(Fakes::promptOf(prompt), 5);
             ++(whole ? m_whole : m_broken);
+            ++m_ended[n];
             if (!whole)
                 std::cerr << Json { { "prompt", prompt }, { "outcome", toString(answer.outcome) }, { "reason", answer.reason }, { "text", answer.text }, { "request", answer.requestId }, { "tries", answer.tries } }.dump() << std::endl;
         }
@@ -51,6 +68,7 @@
     std::atomic<bool> m_stopping { false };
     std::atomic<unsigned> m_broken { 0 };
     std::atomic<unsigned> m_whole { 0 };
+    std::vector<std::atomic<unsigned>> m_ended; // By caller.
     std::vector<std::thread> m_threads;
 };
 
@@ -104,8 +122,7 @@
         for (auto& gateway : cluster.gateways())
             delays.push_back(markDelay(*gateway, it, since));
         // What was on its way to the engine when the mark came arrives; after that nothing may.
-        auto engineAddress = cluster.engineOf(it)->address;
-        waitUntil([&] { return cluster.get(engineAddress, "/control").value("running", 0) == 0; });
+        BOOST_REQUIRE(load.waitTurn());
         auto before = startedAt(cluster, it);
         auto whole = load.whole();
         BOOST_REQUIRE(waitUntil([&] { return load.whole() >= whole + 60; }));
@@ -173,7 +190,7 @@
         }
         return true;
     }));
-    waitUntil([&] { return cluster.get(cluster.engineOf(endpoints[1])->address, "/control").value("running", 0) == 0; });
+    BOOST_REQUIRE(load.waitTurn());
     auto before = startedAt(cluster, endpoints[1]);
     auto whole = load.whole();
     BOOST_REQUIRE(waitUntil([&] { return load.whole() >= whole + 60; }));
