Decide what follows a try, and what callers are told, in a pure state machine

An endpoint's 408, 421, 429 or 503 without its word that it did not run the request is not passed on: it would promise too much. The fields of heads moved to a file of their own.

--- a/core/net/http_status.h
+++ b/core/net/http_status.h
@@ -24,4 +24,10 @@
 constexpr int serviceUnavailable = 503;
 constexpr int gatewayTimeout = 504;
 
+// Answers by which a caller may know that its request has not run, and never will.
+constexpr bool promisesNotRun(int status)
+{
+    return status == requestTimeout || status == misdirected || status == tooManyRequests || status == serviceUnavailable;
+}
+
 } // namespace Onyxnotch::HttpStatus
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "core/net/http_status.h"
+#include "modules/forward/head_fields.h"
 #include <algorithm>
 #include <charconv>
 
@@ -9,60 +10,6 @@
 
 namespace {
 
-    constexpr unsigned maximumUnreachable = 4; // Endpoints that cannot be connected to, before a request is refused.
-
-    // Fields that concern one connection only (RFC 9110, 7.6.1), and those that the framing decides.
-    bool concernsConnection(const HttpHead& head, std::string_view name)
-    {
-        constexpr std::string_view names[] { "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
-            "trailer", "transfer-encoding", "upgrade", "content-length", "expect" };
-        if (std::any_of(std::begin(names), std::end(names), [&](auto it) { return equalsIgnoringCase(it, name); }))
-            return true;
-        auto listed = head.value("connection");
-        while (!listed.empty()) {
-            auto comma = listed.find(',');
-            auto word = listed.substr(0, comma);
-            while (!word.empty() && word.front() == ' ')
-                word.remove_prefix(1);
-            while (!word.empty() && word.back() == ' ')
-                word.remove_suffix(1);
-            if (equalsIgnoringCase(word, name))
-                return true;
-            listed = comma == std::string_view::npos ? std::string_view() : listed.substr(comma + 1);
-        }
-        return false;
-    }
-
-    template <typename Number>
-    std::optional<Number> parseNumber(std::string_view text, int base = 10)
-    {
-        Number number {};
-        auto [rest, ec] = std::from_chars(text.data(), text.data() + text.size(), number, base);
-        if (ec != std::errc() || rest != text.data() + text.size())
-            return std::nullopt;
-        return number;
-    }
-
-    // "ID:TOKENS,…" with ids in hex. Parts that are not understood end the list: nothing is known of what follows.
-    std::vector<PromptPart> parseParts(std::string_view text)
-    {
-        std::vector<PromptPart> parts;
-        while (!text.empty()) {
-            auto comma = text.find(',');
-            auto item = text.substr(0, comma);
-            auto colon = item.find(':');
-            if (colon == std::string_view::npos)
-                break;
-            auto id = parseNumber<std::uint64_t>(item.substr(0, colon), 16);
-            auto tokens = parseNumber<std::uint64_t>(item.substr(colon + 1));
-            if (!tokens)
-                break;
-            parts.push_back({ .id = id ? *id : std::hash<std::string_view> {}(item.substr(0, colon)), .tokens = static_cast<double>(*tokens) });
-            text = comma == std::string_view::npos ? std::string_view() : text.substr(comma + 1);
-        }
-        return parts;
-    }
-
     std::string chunk(std::string_view bytes)
     {
         char size[24];
@@ -75,15 +22,11 @@
 
     constexpr std::string_view lastChunk = "0\r\n\r\n";
 
-    std::string secondsText(Milliseconds duration)
-    {
-        char buf[32];
-        auto [end, ec] = std::to_chars(buf, buf + sizeof(buf), static_cast<double>(duration.count()) / 1000, std::chars_format::fixed, 2);
-        return { buf, end };
-    }
-
 } // namespace
 
+const Exchange::OwnAnswer Exchange::outOfTime { .status = HttpStatus::gatewayTimeout, .reason = "out_of_time" };
+const Exchange::OwnAnswer Exchange::endpointBroke { .status = HttpStatus::badGateway, .reason = "endpoint_broke" };
+
 Exchange::Exchange(ForwardContext& context, std::shared_ptr<AsyncConnection> caller, const CallerRequest& request, bool closeAfter)
     : m_context(context)
     , m_caller(std::move(caller))
@@ -124,7 +67,7 @@
 
 void Exchange::readPrompt()
 {
-    m_parts = parseParts(m_request.head.value(m_context.options.names.promptParts));
+    m_parts = parsePromptParts(m_request.head.value(m_context.options.names.promptParts));
     auto counts = m_request.head.value(m_context.options.names.tokenCounts);
     m_promptTokens = static_cast<double>(parseNumber<std::uint64_t>(counts.substr(0, counts.find(','))).value_or(0));
     if (m_team && !m_team->countsTokens) {
@@ -161,6 +104,7 @@
     if (auto refusal = findTeam())
         co_return co_await answer(*refusal);
     readPrompt();
+    m_fate = RequestFate({ .repeatable = m_route->repeatable(), .maximumTries = m_route->maximumAttempts });
     if (auto refusal = admit())
         co_return co_await answer(*refusal);
     auto endpoints = m_context.view.endpoints();
@@ -188,8 +132,10 @@
 {
     bool first = true;
     while (true) {
-        if (timeLeft() < m_context.options.leastTimeToSend)
+        if (timeLeft() < m_context.options.leastTimeToSend) {
+            m_fate.onEnd(TryEnd::OutOfTime);
             co_return co_await giveUp(TryEnd::OutOfTime);
+        }
         auto chosen = chooseEndpoint();
         if (!chosen)
             co_return co_await giveUp(TryEnd::NotSent);
@@ -197,15 +143,16 @@
             m_context.demand.onRequest(m_service->name, chosen->uncachedTokens / m_context.endpoints.choiceOptions().prefillTokensPerSecond);
         first = false;
         auto end = co_await tryEndpoint(*chosen);
+        m_fate.onEnd(end);
         noteOutcome(*chosen->endpoint, end);
         if (end == TryEnd::Delivered)
             co_return ExchangeEnd::Answered;
-        if (!mayTryAgain(end))
+        if (!m_fate.mayTryAgain([this] { return m_context.retries.take(m_service->name); }))
             co_return co_await giveUp(end);
     }
 }
 
-asio::awaitable<Exchange::TryEnd> Exchange::tryEndpoint(const ChosenEndpoint& chosen)
+asio::awaitable<TryEnd> Exchange::tryEndpoint(const ChosenEndpoint& chosen)
 {
     // The connections that an endpoint takes are shared by all nodes; one is left out for health checks.
     auto connections = std::max(1U, (m_service->maximumConnections - 1) / std::max(1U, m_context.nodes));
@@ -226,14 +173,14 @@
     co_return m_callerLeft ? TryEnd::CallerLeft : end;
 }
 
-asio::awaitable<Exchange::TryEnd> Exchange::callEndpoint(EndpointCall& call, const ChosenEndpoint& chosen)
+asio::awaitable<TryEnd> Exchange::callEndpoint(EndpointCall& call, const ChosenEndpoint& chosen)
 {
     const auto& options = m_context.options;
     auto part = Milliseconds(static_cast<std::int64_t>(static_cast<double>(m_route->objective.count()) * options.connectObjectivePart));
     auto status = co_await call.connect(std::clamp(part, options.shortestConnect, options.longestConnect));
     if (status != CallStatus::Good)
         co_return call.noConnectionLeft() ? TryEnd::NoConnectionLeft : TryEnd::NotSent;
-    ++m_tries;
+    m_fate.onSend();
     auto head = requestHead(chosen.endpoint->listed);
     status = co_await call.send(head, m_request.body);
     if (status == CallStatus::Good)
@@ -258,7 +205,7 @@
     return m_route->kind == RequestKind::Stream && head.status / 100 == 2 && head.find(m_context.options.names.receipt) && !head.find("content-encoding");
 }
 
-asio::awaitable<Exchange::TryEnd> Exchange::relayWhole(EndpointCall& call, const ChosenEndpoint&)
+asio::awaitable<TryEnd> Exchange::relayWhole(EndpointCall& call, const ChosenEndpoint&)
 {
     auto status = co_await call.readWholeBody();
     if (status != CallStatus::Good)
@@ -268,6 +215,9 @@
         co_return TryEnd::MayHaveRun;
     if (m_streamBegun)
         co_return TryEnd::MayHaveRun;
+    // To the caller this status would say that the request has not run; the endpoint has not said so.
+    if (HttpStatus::promisesNotRun(call.head().status))
+        co_return TryEnd::MayHaveRun;
     if (call.head().status / 100 == 5) {
         m_failure = call.head();
         m_failureBody = std::move(call.body());
@@ -281,7 +231,7 @@
     co_return written ? TryEnd::Delivered : TryEnd::CallerLeft;
 }
 
-asio::awaitable<Exchange::TryEnd> Exchange::relayStream(EndpointCall& call, const ChosenEndpoint& chosen)
+asio::awaitable<TryEnd> Exchange::relayStream(EndpointCall& call, const ChosenEndpoint& chosen)
 {
     std::string pending;
     std::string ready;
@@ -332,31 +282,6 @@
         m_context.endpoints.observePrefill(chosen.uncachedTokens, seconds);
 }
 
-std::string_view Exchange::nameOf(TryEnd end)
-{
-    switch (end) {
-    case TryEnd::Delivered:
-        return "delivered";
-    case TryEnd::NotSent:
-        return "not_connected";
-    case TryEnd::NoConnectionLeft:
-        return "no_connection_left";
-    case TryEnd::NotRun:
-        return "not_run";
-    case TryEnd::MayHaveRun:
-        return "broken";
-    case TryEnd::FailedAnswer:
-        return "failed_answer";
-    case TryEnd::StreamBroken:
-        return "stream_broken";
-    case TryEnd::OutOfTime:
-        return "out_of_time";
-    case TryEnd::CallerLeft:
-        return "caller_left";
-    }
-    return "";
-}
-
 // A try that did not deliver: what the next decision follows from.
 void Exchange::writeTryLog(const EndpointState& endpoint, TryEnd end)
 {
@@ -364,7 +289,7 @@
     if (!m_context.failedLines.take(steadyNow()))
         return;
     logEvent(LogLevel::Info, "try_failed",
-        { { "request_id", m_requestId }, { "endpoint", endpoint.listed.id }, { "end", nameOf(end) }, { "try", m_tries }, { "expected_ms", m_expectedMilliseconds },
+        { { "request_id", m_requestId }, { "endpoint", endpoint.listed.id }, { "end", nameOf(end) }, { "try", m_fate.tries() }, { "expected_ms", m_expectedMilliseconds },
             { "ms", toMilliseconds(steadyNow() - m_sentAt).count() }, { "events", m_events.events() }, { "endpoints_revision", m_endpointsRevision } });
 }
 
@@ -392,53 +317,48 @@
     }
 }
 
-bool Exchange::mayTryAgain(TryEnd end)
-{
-    if (end == TryEnd::NotSent || end == TryEnd::NoConnectionLeft) {
-        // Nothing was spent: no endpoint saw the request.
-        return ++m_unreachable < maximumUnreachable;
-    }
-    bool ran = end == TryEnd::MayHaveRun || end == TryEnd::FailedAnswer || end == TryEnd::StreamBroken;
-    m_mayHaveRun = m_mayHaveRun || ran || end == TryEnd::OutOfTime;
-    if (ran && !m_route->repeatable())
-        return false;
-    if (!ran && end != TryEnd::NotRun)
-        return false;
-    if (m_tries >= m_route->maximumAttempts)
-        return false;
-    return m_context.retries.take(m_service->name);
-}
-
 asio::awaitable<ExchangeEnd> Exchange::giveUp(TryEnd end)
 {
-    if (m_charged > 0 && m_tries == 0 && m_team)
-        m_context.teams.refund(m_team->name, m_charged);
-    if (m_streamBegun) {
-        // Cut, so that it does not look complete.
+    if (m_fate.ranNowhere())
+        refundTeam();
+    switch (m_fate.finalAnswer(m_streamBegun)) {
+    case FinalAnswer::CutStream:
         writeLog(HttpStatus::ok, end == TryEnd::CallerLeft ? "caller_left" : "stream_cut");
         m_caller->reset();
         co_return ExchangeEnd::Close;
-    }
-    if (end == TryEnd::CallerLeft) {
+    case FinalAnswer::None:
         writeLog(0, "caller_left");
         co_return ExchangeEnd::Close;
-    }
-    if (m_failure) {
-        auto bytes = answerHead(*m_failure, m_failureBody.size()) + m_failureBody;
-        auto written = co_await toCaller(bytes);
-        writeLog(m_failure->status, "endpoint_failed");
-        co_return written ? ExchangeEnd::Answered : ExchangeEnd::Close;
-    }
-    if (m_mayHaveRun) {
-        bool late = end == TryEnd::OutOfTime;
-        OwnAnswer unknown { .status = late ? HttpStatus::gatewayTimeout : HttpStatus::badGateway, .reason = late ? "out_of_time" : "endpoint_broke" };
-        co_return co_await answer(unknown);
+    case FinalAnswer::EndpointsFailure:
+        co_return co_await passFailure();
+    case FinalAnswer::OutOfTime:
+        co_return co_await answer(outOfTime);
+    case FinalAnswer::Unknown:
+        co_return co_await answer(endpointBroke);
+    case FinalAnswer::Refusal:
+        break;
     }
     m_context.demand.onRefused(m_service->name);
-    OwnAnswer refusal { .comeBackAfter = m_context.options.comeBackAfter, .reason = m_tries > 0 ? "endpoint_refused" : "no_endpoint" };
+    OwnAnswer refusal { .comeBackAfter = m_context.options.comeBackAfter, .reason = m_fate.tries() > 0 ? "endpoint_refused" : "no_endpoint" };
     co_return co_await answer(refusal);
 }
 
+asio::awaitable<ExchangeEnd> Exchange::passFailure()
+{
+    auto bytes = answerHead(*m_failure, m_failureBody.size()) + m_failureBody;
+    auto written = co_await toCaller(bytes);
+    writeLog(m_failure->status, "endpoint_failed");
+    co_return written ? ExchangeEnd::Answered : ExchangeEnd::Close;
+}
+
+// Only what an endpoint runs counts against the limit.
+void Exchange::refundTeam()
+{
+    if (m_team && m_charged > 0)
+        m_context.teams.refund(m_team->name, m_charged);
+    m_charged = 0;
+}
+
 void Exchange::countRun()
 {
     if (m_team && m_events.events() == 0)
@@ -528,7 +448,7 @@
         { { "request_id", m_requestId }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() },
             { "team", m_team ? std::string_view(m_team->name) : std::string_view() }, { "endpoint", m_lastEndpoint }, { "choice", m_choiceReason },
             { "expected_ms", m_expectedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "endpoints_revision", m_endpointsRevision },
-            { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_wantedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_tries }, { "status", status }, { "outcome", outcome },
+            { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_wantedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_fate.tries() }, { "status", status }, { "outcome", outcome },
             { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "left_ms", m_route ? timeLeft().count() : 0L } });
 }
 
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -3,6 +3,7 @@
 
 #include "modules/forward/endpoint_call.h"
 #include "modules/forward/event_stream.h"
+#include "modules/forward/request_fate.h"
 
 namespace Onyxnotch {
 
@@ -33,18 +34,8 @@
         std::string_view reason {};
     };
 
-    // How a try at one endpoint ended.
-    enum class TryEnd {
-        Delivered, // The caller has its whole answer.
-        NotSent, // The endpoint got nothing.
-        NoConnectionLeft, // As NotSent: this node has all the connections there that it may have.
-        NotRun, // The endpoint says that it did not run the request.
-        MayHaveRun, // It may have run; nothing was passed on.
-        FailedAnswer, // A whole answer that says the endpoint failed; held in m_failure.
-        StreamBroken, // Part of a stream was passed on.
-        OutOfTime,
-        CallerLeft,
-    };
+    static const OwnAnswer outOfTime;
+    static const OwnAnswer endpointBroke;
 
     // The steps before an endpoint is chosen. Each returns an answer where the request ends there.
     std::optional<OwnAnswer> findRoute();
@@ -57,17 +48,17 @@
     asio::awaitable<TryEnd> callEndpoint(EndpointCall&, const ChosenEndpoint&);
     asio::awaitable<TryEnd> relayStream(EndpointCall&, const ChosenEndpoint&);
     asio::awaitable<TryEnd> relayWhole(EndpointCall&, const ChosenEndpoint&);
-    bool mayTryAgain(TryEnd);
     void noteFirstEvent(const ChosenEndpoint&);
     void noteOutcome(EndpointState&, TryEnd);
     void writeTryLog(const EndpointState&, TryEnd);
-    static std::string_view nameOf(TryEnd);
     std::optional<ChosenEndpoint> chooseEndpoint();
 
     std::string requestHead(const ListedEndpoint&) const;
     std::string answerHead(const HttpHead&, std::optional<std::size_t> length) const;
     asio::awaitable<ExchangeEnd> answer(OwnAnswer);
     asio::awaitable<ExchangeEnd> giveUp(TryEnd);
+    asio::awaitable<ExchangeEnd> passFailure();
+    void refundTeam();
     asio::awaitable<bool> toCaller(std::string_view bytes);
     Milliseconds timeLeft() const;
     bool isOurStreamAnswer(const HttpHead&) const;
@@ -94,9 +85,7 @@
     SteadyTime m_sentAt {};
     long m_firstEventMilliseconds { -1 }; // Since the request arrived; -1 where there was none.
     bool m_callerLeft { false };
-    bool m_mayHaveRun { false };
-    unsigned m_tries { 0 }; // At endpoints that got bytes.
-    unsigned m_unreachable { 0 };
+    RequestFate m_fate {};
     std::vector<std::string> m_tried {};
     std::string m_lastEndpoint {};
     std::string_view m_choiceReason {};
