Share a team's limit among the nodes of the store's list until they have been heard

Now a node spends the even shares of itself and of those that it has heard, for eight gossip periods after its start, and needs a part of the amount beforehand.

--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -32,12 +32,25 @@
     return use.total + use.perSecond * seconds(fresh) + std::max(use.perSecond, share) * seconds(stale);
 }
 
+double TeamLimits::spendablePart(SteadyTime now) const
+{
+    auto heard = static_cast<double>(m_peers.size() + 1);
+    return isCautious(now) ? std::min(1.0, heard / std::max(1U, m_options.expectedNodes)) : 1;
+}
+
+// Nobody knows what an earlier life of this node has let through: a new one has saved up no more than what came in since its start.
+double TeamLimits::firstLevel(const TrafficTeam& team, SteadyTime now) const
+{
+    if (!isCautious(now))
+        return team.burst;
+    return std::min(team.burst, team.ratePerSecond * seconds(now - m_startedAt) * spendablePart(now));
+}
+
 void TeamLimits::advance(const std::string& team, Bucket& bucket, SteadyTime now)
 {
     auto elapsed = seconds(now - bucket.updatedAt);
     bucket.updatedAt = now;
-    bool cautious = now - m_startedAt < m_options.cautiousFor && m_peers.empty();
-    auto level = bucket.level + bucket.ratePerSecond * elapsed * (cautious ? m_options.cautiousPart : 1);
+    auto level = bucket.level + bucket.ratePerSecond * elapsed * spendablePart(now);
     std::erase_if(m_peers, [&](const auto& it) { return now - it.second.heardAt > m_options.forgetAfter; });
     for (auto& [node, peer] : m_peers) {
         auto& use = peer.uses[team];
@@ -58,16 +71,20 @@
         return std::nullopt;
     auto& bucket = m_buckets[team.name];
     if (!bucket.known)
-        bucket = { .level = now - m_startedAt > m_options.cautiousFor ? team.burst : 0, .updatedAt = now };
+        bucket = { .level = firstLevel(team, now), .updatedAt = now };
     bucket.ratePerSecond = team.ratePerSecond;
     bucket.burst = team.burst;
     advance(team.name, bucket, now);
-    if (bucket.level > 0) {
+    // Each node may overdraw its level by one request. Nodes that do not know each other would all do so at once: until it has heard the
+    // others, a node needs a part of the amount beforehand.
+    bool covered = bucket.level > 0 && bucket.level >= amount * (1 - spendablePart(now));
+    if (covered) {
         bucket.level -= amount;
         m_ownTotals[team.name] += amount;
         return std::nullopt;
     }
-    auto wait = Milliseconds(static_cast<std::int64_t>(-bucket.level / team.ratePerSecond * 1000));
+    auto missing = std::max(0.0, amount * (1 - spendablePart(now))) - bucket.level;
+    auto wait = Milliseconds(static_cast<std::int64_t>(missing / team.ratePerSecond * 1000));
     return std::clamp(wait, shortestWait, longestWait);
 }
 
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -12,8 +12,10 @@
 struct TeamLimitsOptions {
     Milliseconds freshFor { 750 }; // A peer's counters count as known for this long: three gossip periods.
     Milliseconds forgetAfter { 20000 }; // A peer that was silent this long has gone; its share goes to the others.
-    Milliseconds cautiousFor { 2000 }; // After the start, until the peers' counters have arrived.
-    double cautiousPart { 0.1 }; // Of a rate that a node spends alone while it knows no peer.
+    // After the start, until the counters of all peers should have arrived: eight gossip periods. Meanwhile a node spends only the even
+    // shares of the nodes that it has heard and of itself.
+    Milliseconds cautiousFor { 2000 };
+    unsigned expectedNodes { 10 }; // In the fleet, this one included, until the store has told; the users' sites have nine.
     double maximumDebtSeconds { 8 }; // Of the rate, that an overshoot is paid back for.
 };
 
@@ -29,6 +31,9 @@
     void onPeer(const std::string& node, std::uint64_t lifetime, const std::map<std::string, double>& totals, SteadyTime now);
     // For a fleet in which rows of a peer come only now and then.
     void setFreshFor(Milliseconds freshFor) { m_options.freshFor = freshFor; }
+    void setCautiousFor(Milliseconds cautiousFor) { m_options.cautiousFor = cautiousFor; }
+    // How many nodes there are, as far as anybody knows, this one included.
+    void setExpectedNodes(unsigned nodes) { m_options.expectedNodes = nodes; }
     // This node's own totals, for the peers.
     const std::map<std::string, double>& ownTotals() const { return m_ownTotals; }
 
@@ -54,6 +59,10 @@
     };
 
     void advance(const std::string& team, Bucket&, SteadyTime now);
+    bool isCautious(SteadyTime now) const { return now - m_startedAt < m_options.cautiousFor; }
+    // Of the rate, that may be spent by this node and those that it has heard.
+    double spendablePart(SteadyTime now) const;
+    double firstLevel(const TrafficTeam&, SteadyTime now) const;
     double expectedTotal(const Peer&, const PeerUse&, double ratePerSecond, SteadyTime now) const;
 
     TeamLimitsOptions m_options;
--- a/tests/modules/limits/test_team_limits.cpp
+++ b/tests/modules/limits/test_team_limits.cpp
@@ -97,6 +97,37 @@
     BOOST_TEST(admitted > allowed * 0.8);
 }
 
+// Found by the bench: all nodes of a fleet of ninety were killed twice, and each filled the limit at the whole rate until it knew the
+// others.
+BOOST_AUTO_TEST_CASE(a_fleet_that_starts_anew_keeps_the_limit_before_its_nodes_know_each_other)
+{
+    constexpr int nodes = 91;
+    constexpr double rate = 50000;
+    std::mt19937 random(7);
+    std::vector<TeamLimits> limits(nodes, TeamLimits(start, { .cautiousFor = Milliseconds(17000), .expectedNodes = nodes }));
+    std::uniform_int_distribution<int> node(0, nodes - 1);
+    double admitted = 0;
+    constexpr int end = 8000;
+    for (int now = 100; now < end; now += 5) {
+        // Twelve times the limit is asked for.
+        if (!limits[node(random)].admit(team(rate), 3000, at(now)))
+            admitted += 3000;
+        if (now % 250 != 0)
+            continue;
+        // Each hears eight others, drawn anew each time.
+        for (int to = 0; to < nodes; ++to) {
+            for (int n = 0; n < 8; ++n) {
+                auto from = node(random);
+                if (from != to)
+                    limits[to].onPeer("n" + std::to_string(from), 1, limits[from].ownTotals(), at(now));
+            }
+        }
+    }
+    // What a node has in debt after its last request is the size of one request.
+    BOOST_TEST(admitted < rate * end / 1000 * 1.1 + nodes * 3000.0);
+    BOOST_TEST(admitted > rate * end / 1000 * 0.5);
+}
+
 // Cut off from all others, each node keeps to an even share.
 BOOST_AUTO_TEST_CASE(a_node_that_is_cut_off_keeps_to_its_share)
 {
