Apply changed settings, bound the bodies that are held, and start where fields are left out

Causes, found by reading: SIGHUP and a changed file were only checked; bodies of all callers had no bound together; the template made milliseconds of fractions of seconds and no JSON of an installation without retries or cloud.

--- a/core/log.cpp
+++ b/core/log.cpp
@@ -181,6 +181,8 @@
     logStarted = true;
 }
 
+void setMinimumLogLevel(LogLevel level) { minimumLevel = level; }
+
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     if (!logStarted || level < minimumLevel)
--- a/core/log.h
+++ b/core/log.h
@@ -75,6 +75,9 @@
     unsigned long m_leftOut { 0 };
 };
 
+// Takes effect at once, on all threads.
+void setMinimumLogLevel(LogLevel);
+
 // Sets from the text "debug", "info", "warning" or "error"; anything else is Info.
 LogLevel parseLogLevel(std::string_view);
 
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -13,7 +13,7 @@
 
     constexpr const char* schemaText = R"json({
     "type": "object", "additionalProperties": false, "title": "onyxnotch-entry",
-    "required": ["instance", "zone", "listen", "store", "cloud"],
+    "required": ["instance", "zone", "listen", "store"],
     "properties": {
         "instance": { "type": "string", "minLength": 1, "description": "Name of the instance that the process runs on, unlike any other's." },
         "zone": { "type": "string", "minLength": 1, "description": "Availability zone of the instance." },
@@ -29,13 +29,14 @@
         "gossipPort": { "type": "integer", "minimum": 0, "maximum": 65535, "default": 0, "description": "UDP port for other nodes, the same on all." },
         "seeds": { "type": "array", "items": { "type": "string" }, "default": [], "description": "Addresses of a few nodes; their host counts, with the gossip port." },
         "store": { "type": "string", "description": "Address of the platform's object store." },
-        "cloud": { "type": "string", "description": "Address of the platform's cloud API." },
+        "cloud": { "type": "string", "default": "", "description": "Address of the platform's cloud API. Without it the process has no duties." },
         "duties": { "type": "array", "items": { "type": "string" }, "default": [], "description": "The platform's names of the duties that one node at a time has." },
         "limits": {
             "type": "object", "additionalProperties": false, "default": {},
             "description": "What the process may use.",
             "properties": {
-                "descriptors": { "type": "integer", "minimum": 64, "default": 4096, "description": "Open files and sockets." }
+                "descriptors": { "type": "integer", "minimum": 64, "default": 4096, "description": "Open files and sockets." },
+                "memoryMegabytes": { "type": "number", "minimum": 32, "default": 256, "description": "Memory of the process. A quarter of it may hold bodies of requests." }
             }
         },
         "retries": {
@@ -46,9 +47,9 @@
                 "reserve": { "type": "number", "minimum": 0, "default": 10, "description": "Beyond that, in each window." }
             }
         },
-        "graceMs": { "type": "number", "minimum": 500, "default": 8000, "description": "Time from the stop signal to the kill." },
+        "graceSeconds": { "type": "number", "minimum": 0.5, "default": 8, "description": "Time from the stop signal to the kill." },
         "leaseMs": { "type": "number", "minimum": 500, "default": 3000, "description": "How long a duty's lease holds without a renewal." },
-        "usageWindowMs": { "type": "number", "minimum": 100, "default": 5000, "description": "Length of a window of the usage reports." },
+        "usageWindowSeconds": { "type": "number", "minimum": 0.1, "default": 5, "description": "Length of a window of the usage reports." },
         "logLevel": { "enum": ["debug", "info", "warning", "error"], "default": "info", "description": "Least level that is logged." }
     }
 })json";
@@ -56,7 +57,11 @@
     constexpr unsigned reservedDescriptors = 300; // For files, the store's connections and those to endpoints that start up.
     constexpr double callerPart = 0.6; // Of the other descriptors; the rest is for connections to endpoints.
 
+    constexpr double heldPart = 0.25; // Of the memory, for bodies of requests; sockets' buffers and everything else take the rest.
+    constexpr double bytesInMegabyte = 1048576;
+
     Milliseconds milliseconds(const Json& value) { return Milliseconds(static_cast<std::int64_t>(value.get<double>())); }
+    Milliseconds secondsOf(const Json& value) { return Milliseconds(static_cast<std::int64_t>(value.get<double>() * 1000)); }
 
     Result<EntrySettings> decode(const Json& document)
     {
@@ -70,12 +75,18 @@
             Address& address;
         };
         for (auto& it : { Target { listen["callers"], entry.callers }, Target { listen["readiness"], entry.readiness },
-                 Target { listen["control"], entry.control }, Target { document["store"], settings.store }, Target { document["cloud"], settings.cloud } }) {
+                 Target { listen["control"], entry.control }, Target { document["store"], settings.store } }) {
             auto address = parseAddress(it.text.get<std::string>());
             if (!address)
                 return address.error();
             it.address = address.value();
         }
+        auto cloudText = document["cloud"].get<std::string>();
+        bool hasCloud = !cloudText.empty();
+        if (hasCloud) {
+            BOOST_OUTCOME_TRY(cloud, parseAddress(cloudText));
+            settings.cloud = cloud;
+        }
         entry.gossip = { .host = entry.control.host, .port = document["gossipPort"] };
         for (const auto& it : document["seeds"]) {
             auto address = parseAddress(it.get<std::string>());
@@ -88,17 +99,18 @@
         entry.forward.names = Platform::wireNames();
         entry.forward.zone = entry.zone;
         entry.forward.maximumCallers = static_cast<unsigned>((std::max(descriptors, reservedDescriptors + 64) - reservedDescriptors) * callerPart);
-        entry.forward.usageWindowMilliseconds = static_cast<unsigned>(milliseconds(document["usageWindowMs"]).count());
+        entry.forward.maximumHeldBytes = static_cast<std::size_t>(document["limits"]["memoryMegabytes"].get<double>() * bytesInMegabyte * heldPart);
+        entry.forward.usageWindowMilliseconds = static_cast<unsigned>(secondsOf(document["usageWindowSeconds"]).count());
         entry.retries = { .perRequest = document["retries"]["perRequest"], .reserve = document["retries"]["reserve"] };
-        entry.grace = milliseconds(document["graceMs"]);
+        entry.grace = secondsOf(document["graceSeconds"]);
         auto lease = milliseconds(document["leaseMs"]);
         entry.duties.node = entry.node;
         // Three renewals in a lease: one lost call does not cost the duty.
         entry.duties.lease = { .duration = lease, .renewEvery = lease / 3 };
         entry.duties.usage.windowMilliseconds = entry.forward.usageWindowMilliseconds;
         auto duties = document["duties"].get<std::vector<std::string>>();
-        entry.duties.reportsUsage = Platform::namesUsageReports(duties);
-        entry.duties.ordersEndpoints = Platform::namesEndpointOrders(duties);
+        entry.duties.reportsUsage = hasCloud && Platform::namesUsageReports(duties);
+        entry.duties.ordersEndpoints = hasCloud && Platform::namesEndpointOrders(duties);
         settings.logLevel = parseLogLevel(document["logLevel"].get<std::string>());
         return settings;
     }
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -109,14 +109,23 @@
         summary.set(std::make_shared<const NodeSummary>(summarize(alive, now)));
     }
 
+    // Entries of nodes that have gone for good stay in the store: then this is too many, and only caution after a start costs.
+    void expectNodes(unsigned nodes)
+    {
+        forward.teams.setExpectedNodes(nodes);
+        logEvent(LogLevel::Info, "nodes_expected", { { "nodes", nodes } });
+    }
+
     // How long a silence means nothing depends on how often a node hears another one.
     void adaptToFleet()
     {
         constexpr double rowsUntilSilent = 6;
         constexpr double rowsWhileFresh = 3;
+        constexpr double rowsUntilHeard = 8; // By then a node has heard all others but one or two in ten thousand.
         auto between = static_cast<double>(options.gossipPeriod.count()) / exchange.heardPart();
         peers.setSilentAfter(Milliseconds(static_cast<std::int64_t>(between * rowsUntilSilent)));
         forward.teams.setFreshFor(Milliseconds(static_cast<std::int64_t>(between * rowsWhileFresh)));
+        forward.teams.setCautiousFor(Milliseconds(static_cast<std::int64_t>(between * rowsUntilHeard)));
     }
 
     static std::map<std::string, EndpointLoadReport> sumLoads(const std::vector<const PeerRow*>& rows)
@@ -424,18 +433,23 @@
         }
     }
 
+    // One list tells what this node's own entry says and how many others there are.
     asio::awaitable<bool> registerNode(const nlohmann::json& value)
     {
-        auto current = co_await store->read(StoreKind::Nodes, node.m_options.node);
-        if (!current)
+        auto nodes = co_await store->list(StoreKind::Nodes);
+        if (!nodes)
             co_return false;
-        if (!current.value()) {
+        const auto& objects = nodes.value().objects;
+        auto own = std::find_if(objects.begin(), objects.end(), [this](const auto& it) { return it.name == node.m_options.node; });
+        auto others = static_cast<unsigned>(objects.size()) - (own == objects.end() ? 0U : 1U);
+        asio::post(node.m_requests->context, [this, others] { node.m_requests->expectNodes(others + 1); });
+        if (own == objects.end()) {
             auto created = co_await store->create(StoreKind::Nodes, node.m_options.node, value);
             co_return created || created.error().code == ErrorCode::Conflict;
         }
-        if (current.value()->value.value("gossip", std::string()) == value["gossip"])
+        if (own->value.value("gossip", std::string()) == value["gossip"])
             co_return true;
-        auto replaced = co_await store->replace(StoreKind::Nodes, node.m_options.node, current.value()->revision, value);
+        auto replaced = co_await store->replace(StoreKind::Nodes, node.m_options.node, own->revision, value);
         co_return bool(replaced);
     }
 
@@ -499,6 +513,17 @@
     return success();
 }
 
+void EntryNode::apply(const EntryOptions& options)
+{
+    asio::post(m_requests->context, [this, options] {
+        // Read on the request thread alone.
+        m_options.grace = options.grace;
+        m_requests->forward.retries.setOptions(options.retries);
+        m_requests->forward.options.maximumCallers = options.forward.maximumCallers;
+        m_requests->forward.heldBodies.setMost(options.forward.maximumHeldBytes);
+    });
+}
+
 void EntryNode::stop()
 {
     if (m_stopping.exchange(true))
--- a/modules/entry/entry_node.h
+++ b/modules/entry/entry_node.h
@@ -49,6 +49,8 @@
     EntryNode& operator=(const EntryNode&) = delete;
 
     Status start();
+    // Takes over those settings that may change while the process runs: grace, retries, callers' connections and bodies. From any thread.
+    void apply(const EntryOptions&);
     // Starts a drain; from any thread.
     void stop();
     // Returns when the drain has ended.
--- a/modules/forward/caller_session.cpp
+++ b/modules/forward/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "core/net/http_status.h"
+#include "modules/forward/head_fields.h"
 
 namespace Onyxnotch {
 
@@ -15,6 +16,7 @@
 CallerSession::CallerSession(ForwardContext& context, std::shared_ptr<AsyncConnection> connection)
     : m_context(context)
     , m_connection(std::move(connection))
+    , m_held(context.heldBodies)
 {
 }
 
@@ -51,6 +53,7 @@
 asio::awaitable<CallerSession::ReadEnd> CallerSession::readRequest()
 {
     m_request = {};
+    m_held.resize(0);
     auto bounds = limits();
     auto idleUntil = steadyNow() + bounds.idleTimeout;
     while (m_connection->input().empty()) {
@@ -105,6 +108,8 @@
         parser.feed(m_connection->input());
         if (parser.body().size() > bounds.maximumBodyBytes)
             co_return co_await refuse(HttpStatus::bodyTooLarge, "body_too_large");
+        if (!m_held.resize(parser.body().size()))
+            co_return co_await refuse(HttpStatus::serviceUnavailable, "no_memory");
     }
     if (parser.state() != HttpParserState::Complete)
         co_return co_await refuse(HttpStatus::badRequest, "malformed_body");
@@ -114,7 +119,10 @@
 asio::awaitable<CallerSession::ReadEnd> CallerSession::refuse(int status, std::string_view reason)
 {
     logEvent(LogLevel::Info, "request_refused", { { "status", status }, { "reason", reason } });
-    auto text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonPhrase(status)) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    auto text = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reasonPhrase(status)) + "\r\nConnection: close\r\nContent-Length: 0\r\n";
+    if (status == HttpStatus::serviceUnavailable)
+        text += "Retry-After: " + secondsText(m_context.options.comeBackAfter) + "\r\n";
+    text += "\r\n";
     co_await m_connection->write(text, steadyNow() + refusalWrite);
     // Bytes that were not read would turn the close into a reset, and the caller might lose its answer.
     auto until = steadyNow() + lingerTime;
--- a/modules/forward/caller_session.h
+++ b/modules/forward/caller_session.h
@@ -32,6 +32,7 @@
     ForwardContext& m_context;
     std::shared_ptr<AsyncConnection> m_connection;
     CallerRequest m_request {};
+    HeldBytes::Share m_held; // Of the request's body.
     bool m_keepAlive { true };
     bool m_idle { true };
 };
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -17,6 +17,7 @@
     WireNames names {};
     std::string zone {};
     unsigned maximumCallers { 3000 }; // Open connections of callers; below the descriptors that the process may have.
+    std::size_t maximumHeldBytes { 64U << 20U }; // Of all callers' bodies together.
     std::size_t maximumAnswerBytes { 1U << 20U }; // Of an answer that is held until it is whole.
     Milliseconds longestConnect { 300 }; // To an endpoint: many round trips, and short against an objective of a second.
     Milliseconds shortestConnect { 40 };
@@ -28,6 +29,48 @@
     unsigned usageWindowMilliseconds { 5000 };
 };
 
+// Bytes that all sessions of a node hold, and how many they may.
+class HeldBytes {
+public:
+    explicit HeldBytes(std::size_t most)
+        : m_most(most)
+    {
+    }
+
+    void setMost(std::size_t most) { m_most = most; }
+
+    // One session's share; given back when it ends.
+    class Share {
+    public:
+        explicit Share(HeldBytes& all)
+            : m_all(all)
+        {
+        }
+        ~Share() { resize(0); }
+        Share(const Share&) = delete;
+        Share& operator=(const Share&) = delete;
+
+        // False where there is no room for that much; then nothing changes.
+        bool resize(std::size_t bytes)
+        {
+            auto others = m_all.m_held - m_bytes;
+            if (bytes > m_bytes && others + bytes > m_all.m_most)
+                return false;
+            m_all.m_held = others + bytes;
+            m_bytes = bytes;
+            return true;
+        }
+
+    private:
+        HeldBytes& m_all;
+        std::size_t m_bytes { 0 };
+    };
+
+private:
+    std::size_t m_most;
+    std::size_t m_held { 0 };
+};
+
 struct ForwardContext {
     ForwardContext(asio::io_context& requestContext, TrafficView& trafficView, Metrics& processMetrics, const ForwardOptions& forwardOptions,
         const SharedRetryBudgetOptions& retryOptions)
@@ -39,6 +82,7 @@
         , teams(steadyNow())
         , retries(retryOptions)
         , usage(options.usageWindowMilliseconds)
+        , heldBodies(options.maximumHeldBytes)
     {
     }
 
@@ -60,6 +104,7 @@
     LogBudget answeredLines { 100 };
     LogBudget failedLines { 100 };
     std::int64_t clockDifference { 0 }; // Time of day less the monotonic clock, in milliseconds, as agreed with the other nodes.
+    HeldBytes heldBodies; // Of callers.
     bool stopping { false };
     unsigned nodes { 1 }; // That share the endpoints' connections, this one included.
     std::mt19937_64 random { std::random_device {}() };
--- a/modules/limits/retry_budget.h
+++ b/modules/limits/retry_budget.h
@@ -22,6 +22,7 @@
     {
     }
 
+    void setOptions(const SharedRetryBudgetOptions& options) { m_options = options; }
     void setNodes(unsigned nodes) { m_nodes = std::max(1U, nodes); }
     void onRequest(const std::string& service) { add(service, m_options.perRequest * m_options.ownPart); }
     // False where the budget is used up.
--- a/tests/entry/test_forwarding.cpp
+++ b/tests/entry/test_forwarding.cpp
@@ -302,6 +302,54 @@
     BOOST_TEST(one.endpoint.requests().size() == 1U);
 }
 
+// Found by reading: what an endpoint refused stayed charged to its team.
+BOOST_AUTO_TEST_CASE(a_request_that_did_not_run_costs_its_team_nothing)
+{
+    OneNode one(plainAnswer);
+    auto limited = EntrySite::declaration(2);
+    limited["tenants"][0]["unit"] = "token_stream";
+    limited["tenants"][0]["ratePerS"] = 100;
+    limited["tenants"][0]["burst"] = 100;
+    one.site.declare(limited);
+    one.endpoint.setScript([](const auto& it) {
+        return Fakes::ScriptedAnswer { .bytes = "HTTP/1.1 503 Busy\r\nAttempt-Id: " + std::string(it.head.value("attempt-id")) + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+    });
+    // The first is let through; charged for, it would keep the team out for a minute.
+    auto large = request("GET", "/safe/a", "id-1", "Token-Counts: 6000,0\r\n");
+    BOOST_REQUIRE(waitUntil([&] { return one.ask(large).head.status == HttpStatus::serviceUnavailable && one.endpoint.requests().size() > 0; }));
+    one.endpoint.setScript(plainAnswer);
+    BOOST_TEST(waitUntil([&] { return one.ask(request("GET", "/safe/a", "id-2", "Token-Counts: 10,0\r\n")).head.status == HttpStatus::ok; }, Milliseconds(5000)));
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_does_not_say_not_run_is_not_quoted_with_a_promise)
+{
+    OneNode one([](const auto& it) {
+        return Fakes::ScriptedAnswer { .bytes = "HTTP/1.1 503 Busy\r\nAttempt-Id: " + std::string(it.head.value("attempt-id")) + "\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n" };
+    });
+    BOOST_TEST(one.ask(request("POST", "/once/a", "id-1", "", "x")).head.status == HttpStatus::badGateway);
+}
+
+BOOST_AUTO_TEST_CASE(bodies_of_all_callers_together_are_bounded)
+{
+    EntrySite site;
+    auto& endpoint = site.addEndpoint("i-1", plainAnswer);
+    auto large = EntrySite::declaration(1);
+    large["limits"]["maxBodyBytes"] = 20000000;
+    site.declare(large);
+    // A quarter of 32 MB may be held.
+    auto& node = site.startNode("node-1", { { "limits", { { "memoryMegabytes", 32 } } } });
+    BOOST_REQUIRE(EntrySite::waitReady(node));
+    std::string part(5000000, 'x');
+    RawCaller first(node.callers);
+    first.send(request("POST", "/once/a", "id-1", "Content-Length: 6000000\r\n") + part);
+    auto held = [&] { return EntrySite::ask(node.callers, request("POST", "/once/a", "id-2", "Content-Length: 5000000\r\n") + part); };
+    BOOST_REQUIRE(waitUntil([&] { return held().head.status == HttpStatus::serviceUnavailable; }));
+    first.send(std::string(1000000, 'x'));
+    BOOST_TEST(first.read().head.status == HttpStatus::ok);
+    BOOST_TEST(waitUntil([&] { return held().head.status == HttpStatus::ok; }));
+    BOOST_TEST(endpoint.requests().front().body.size() == 6000000U);
+}
+
 BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_nothing)
 {
     OneNode one([](const auto& it) { return Fakes::ScriptedAnswer { .bytes = streamHead(it) + events(1, 1), .ending = Ending::Hang }; });
@@ -372,6 +420,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(changed_settings_are_applied_and_bad_ones_are_not)
+{
+    EntrySite site;
+    site.declare(EntrySite::declaration(1));
+    site.addEndpoint("i-1", plainAnswer);
+    auto& node = site.startNode("node-1", { { "logLevel", "info" } });
+    BOOST_REQUIRE(EntrySite::waitReady(node));
+    site.writeSettings("node-1", { { "graceSeconds", "soon" } });
+    node.process->signal(SIGHUP);
+    BOOST_TEST(node.process->waitEvent("settings_refused", Milliseconds(5000)).has_value());
+    // A grace of a second: a stream that hangs is cut by the node well before the six that it started with.
+    site.writeSettings("node-1", { { "graceSeconds", 1 } });
+    BOOST_TEST(node.process->waitEvent("settings_applied", Milliseconds(12000)).has_value());
+    RawCaller waiting(node.callers);
+    waiting.send("GET /safe/");
+    auto before = steadyNow();
+    node.process->signal(SIGTERM);
+    BOOST_TEST((node.process->wait(Milliseconds(8000)) == std::optional<int>(0)));
+    BOOST_TEST(toMilliseconds(steadyNow() - before).count() < 3000);
+}
+
 BOOST_AUTO_TEST_CASE(endpoints_go_on_being_used_while_the_store_is_away)
 {
     OneNode one(plainAnswer);
--- a/tests/harness/entry_site.h
+++ b/tests/harness/entry_site.h
@@ -123,13 +123,9 @@
 
     EntryProcess& startNode(const std::string& name, const Json& changes = Json::object())
     {
-        Json settings { { "instance", name }, { "zone", "z" }, { "listen", { { "callers", "127.0.0.1:0" }, { "readiness", "127.0.0.1:0" }, { "control", "127.0.0.1:0" } } },
-            { "store", m_platform.address().text() }, { "cloud", m_platform.address().text() }, { "graceMs", 6000 }, { "leaseMs", 1000 }, { "usageWindowMs", 1000 } };
-        settings.merge_patch(changes);
-        auto path = m_folder / (name + ".json");
-        std::ofstream(path) << settings.dump();
+        auto path = writeSettings(name, changes);
         auto node = std::make_unique<EntryProcess>();
-        node->process = std::make_unique<Process>("onyxnotch-entry", std::vector<std::string> { "--settings", path.string() });
+        node->process = std::make_unique<Process>("onyxnotch-entry", std::vector<std::string> { "--settings", path });
         auto line = node->process->waitEvent("listening", Milliseconds(20000)).value_or("{}");
         auto event = Json::parse(line);
         for (auto [member, address] : { std::pair("callers", &node->callers), std::pair("readiness", &node->readiness), std::pair("control", &node->control), std::pair("gossip", &node->gossip) })
@@ -138,6 +134,17 @@
         return *m_nodes.back();
     }
 
+    // The settings file of a node; returns its path.
+    std::string writeSettings(const std::string& name, const Json& changes) const
+    {
+        Json settings { { "instance", name }, { "zone", "z" }, { "listen", { { "callers", "127.0.0.1:0" }, { "readiness", "127.0.0.1:0" }, { "control", "127.0.0.1:0" } } },
+            { "store", m_platform.address().text() }, { "cloud", m_platform.address().text() }, { "graceSeconds", 6 }, { "leaseMs", 1000 }, { "usageWindowSeconds", 1 } };
+        settings.merge_patch(changes);
+        auto path = m_folder / (name + ".json");
+        std::ofstream(path) << settings.dump();
+        return path.string();
+    }
+
     // Waits until the node is ready, that is, knows a configuration and endpoints.
     static bool waitReady(const EntryProcess& node)
     {
