--- a/tests/entry/test_forwarding.cpp
+++ b/tests/entry/test_forwarding.cpp
@@ -311,6 +311,7 @@
     limited["tenants"][0]["ratePerS"] = 100;
     limited["tenants"][0]["burst"] = 100;
     one.site.declare(limited);
+    BOOST_REQUIRE(one.node.process->waitLine([](const auto& it) { return it.find("\"configuration_in_force\"") != std::string::npos && it.find("\"version\":2") != std::string::npos; }, Milliseconds(5000)));
     one.endpoint.setScript([](const auto& it) {
         return Fakes::ScriptedAnswer { .bytes = "HTTP/1.1 503 Busy\r\nAttempt-Id: " + std::string(it.head.value("attempt-id")) + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
     });
