Read a stream's events with one system call less, measure streams through onyxnotch-entry

Cause: each event cost a read that found nothing, and two fills of 16 KB. Also: a body that is refused for want of memory gives its room back at once, found by the new test.

--- a/core/net/async_connection.cpp
+++ b/core/net/async_connection.cpp
@@ -14,6 +14,7 @@
 namespace {
 
     constexpr std::size_t readBytes = 16384; // One read takes most requests and answers whole.
+    constexpr std::size_t keptInputBytes = 1024; // Of a connection that waits: events and heads of small answers fit.
     constexpr std::size_t maximumWatchedBytes = 65536; // A caller that sends this much ahead is no longer read until its turn.
 
 } // namespace
@@ -107,33 +108,36 @@
     co_return outcome(ec);
 }
 
+// One buffer serves all connections of a thread: they are many, and each has bytes only for a moment. Empty where nothing has arrived.
+std::size_t AsyncConnection::readNow(asio::error_code& ec)
+{
+    thread_local std::array<char, readBytes> buf;
+    auto size = m_socket.read_some(asio::buffer(buf), ec);
+    if (ec == asio::error::would_block || ec == asio::error::try_again)
+        ec = {};
+    m_input.append(buf.data(), size);
+    // Fewer bytes than there was room for: nothing more is there, and asking again would be a system call for nothing.
+    m_drained = size < readBytes;
+    return size;
+}
+
 asio::awaitable<asio::error_code> AsyncConnection::read(SteadyTime deadline)
 {
     auto self = shared_from_this();
     if (!m_socket.is_open())
         co_return asio::error::bad_descriptor;
-    auto before = m_input.size();
-    m_input.resize(before + readBytes);
     asio::error_code ec;
     // What has arrived already needs no turn of the loop.
-    auto size = m_socket.read_some(asio::buffer(m_input.data() + before, readBytes), ec);
-    if (ec == asio::error::would_block || ec == asio::error::try_again) {
-        // No buffer is held while the peer is awaited: idle connections are many.
-        m_input.resize(before);
-        m_input.shrink_to_fit();
-        guard(deadline);
-        co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, ec));
-        release();
-        size = 0;
-        if (!ec) {
-            m_input.resize(before + readBytes);
-            size = m_socket.read_some(asio::buffer(m_input.data() + before, readBytes), ec);
-            if (ec == asio::error::would_block)
-                ec = {};
-        }
-    }
-    m_input.resize(before + size);
-    m_bytesReceived += size;
+    if (!m_drained && (readNow(ec) > 0 || ec))
+        co_return ec;
+    // No large buffer is held while the peer is awaited: idle connections are many.
+    if (m_input.empty() && m_input.capacity() > keptInputBytes)
+        m_input = {};
+    guard(deadline);
+    co_await m_socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, ec));
+    release();
+    if (!ec)
+        readNow(ec);
     co_return outcome(ec);
 }
 
@@ -233,7 +237,6 @@
             left();
         return;
     }
-    m_bytesReceived += size;
     m_input.append(buf.data(), size);
     if (m_input.size() >= maximumWatchedBytes) {
         m_watching = false;
--- a/core/net/async_connection.h
+++ b/core/net/async_connection.h
@@ -52,7 +52,6 @@
     void reset();
     bool isOpen() const { return m_socket.is_open(); }
     // Bytes sent and received, for tests and metrics.
-    std::uint64_t bytesReceived() const { return m_bytesReceived; }
 
 private:
     void setUp();
@@ -60,6 +59,7 @@
     void armTimer();
     void release() { m_guarded = false; }
     asio::error_code outcome(asio::error_code) const;
+    std::size_t readNow(asio::error_code&);
     void waitForPeer();
     void onReadable();
 
@@ -74,7 +74,7 @@
     std::function<void()> m_left {};
     std::uint64_t m_watch { 0 }; // Raised by each unwatch(), so that a late notice is known to be late.
     bool m_watching { false };
-    std::uint64_t m_bytesReceived { 0 };
+    bool m_drained { false }; // The last read took all that had arrived by then.
 };
 
 } // namespace Onyxnotch
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -101,6 +101,7 @@
         forward.retries.setNodes(forward.nodes);
         forward.clockDifference = peers.clockDifference(ownClockDifference, now);
         forward.demand.tick(seconds);
+        forward.metrics.set("onyxnotch_entry_held_bytes", static_cast<double>(forward.heldBodies.held()));
         if (auto leftOut = forward.answeredLines.takeLeftOut() + forward.failedLines.takeLeftOut())
             logEvent(LogLevel::Info, "request_lines_left_out", { { "count", leftOut } });
         forward.endpoints.setPeerLoads(sumLoads(alive));
--- a/modules/forward/caller_session.cpp
+++ b/modules/forward/caller_session.cpp
@@ -108,8 +108,12 @@
         parser.feed(m_connection->input());
         if (parser.body().size() > bounds.maximumBodyBytes)
             co_return co_await refuse(HttpStatus::bodyTooLarge, "body_too_large");
-        if (!m_held.resize(parser.body().size()))
+        if (!m_held.resize(parser.body().size())) {
+            // Others need the room while this caller reads its refusal.
+            parser.body() = std::string();
+            m_held.resize(0);
             co_return co_await refuse(HttpStatus::serviceUnavailable, "no_memory");
+        }
     }
     if (parser.state() != HttpParserState::Complete)
         co_return co_await refuse(HttpStatus::badRequest, "malformed_body");
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -38,6 +38,7 @@
     }
 
     void setMost(std::size_t most) { m_most = most; }
+    std::size_t held() const { return m_held; }
 
     // One session's share; given back when it ends.
     class Share {
--- a/tests/entry/test_forwarding.cpp
+++ b/tests/entry/test_forwarding.cpp
@@ -343,8 +343,9 @@
     std::string part(5000000, 'x');
     RawCaller first(node.callers);
     first.send(request("POST", "/once/a", "id-1", "Content-Length: 6000000\r\n") + part);
+    BOOST_REQUIRE(waitUntil([&] { return EntrySite::ask(node.control, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n").body.find("onyxnotch_entry_held_bytes 5000000") != std::string::npos; }));
     auto held = [&] { return EntrySite::ask(node.callers, request("POST", "/once/a", "id-2", "Content-Length: 5000000\r\n") + part); };
-    BOOST_REQUIRE(waitUntil([&] { return held().head.status == HttpStatus::serviceUnavailable; }));
+    BOOST_TEST(held().head.status == HttpStatus::serviceUnavailable);
     first.send(std::string(1000000, 'x'));
     BOOST_TEST(first.read().head.status == HttpStatus::ok);
     BOOST_TEST(waitUntil([&] { return held().head.status == HttpStatus::ok; }));
--- a/tests/slopes.cpp
+++ b/tests/slopes.cpp
@@ -2,85 +2,19 @@
 // with its residual. misc/slopes.sh runs it.
 #include "core/digest.h"
 #include "core/net/http_client.h"
+#include "tests/entry_slopes.h"
 #include "tests/harness/cluster.h"
+#include "tests/harness/series.h"
 #include <algorithm>
-#include <cmath>
-#include <fstream>
 #include <future>
 #include <iostream>
-#include <iterator>
-#include <sstream>
 #include <thread>
-#include <unistd.h>
 
 namespace {
 
 using namespace Onyxnotch;
 using namespace Onyxnotch::Tests;
 
-constexpr double bytesPerMegabyte = 1e6;
-
-double cpuSeconds(pid_t pid)
-{
-    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-    std::string text((std::istreambuf_iterator<char>(file)), {});
-    // The fields after the command's name, which may hold blanks; 12 and 13 of them are user and system time.
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::vector<std::string> values((std::istream_iterator<std::string>(fields)), {});
-    return (std::stod(values.at(11)) + std::stod(values.at(12))) / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
-double residentMegabytes(pid_t pid)
-{
-    std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
-    double total = 0;
-    double resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / bytesPerMegabyte;
-}
-
-// Points of one series, and the straight line through them.
-class Series {
-public:
-    Series(std::string name, std::string unit)
-        : m_name(std::move(name))
-        , m_unit(std::move(unit))
-    {
-    }
-
-    void add(double x, double y)
-    {
-        m_points.emplace_back(x, y);
-        std::cout << Json { { "series", m_name }, { "x", x }, { "y", y } }.dump() << std::endl;
-    }
-
-    void fit() const
-    {
-        double n = static_cast<double>(m_points.size());
-        double sumX = 0;
-        double sumY = 0;
-        double sumXX = 0;
-        double sumXY = 0;
-        for (const auto& [x, y] : m_points) {
-            sumX += x;
-            sumY += y;
-            sumXX += x * x;
-            sumXY += x * y;
-        }
-        double slope = (n * sumXY - sumX * sumY) / (n * sumXX - sumX * sumX);
-        double base = (sumY - slope * sumX) / n;
-        double residual = 0;
-        for (const auto& [x, y] : m_points)
-            residual = std::max(residual, std::abs(y - base - slope * x));
-        std::cout << Json { { "series", m_name }, { "unit", m_unit }, { "slope", slope }, { "base", base }, { "largest_residual", residual } }.dump() << std::endl;
-    }
-
-private:
-    std::string m_name;
-    std::string m_unit;
-    std::vector<std::pair<double, double>> m_points;
-};
-
 // As in operation: the harness's settings are faster.
 Json ordinaryMembership() { return { { "probePeriodMs", 1000 }, { "probeTimeoutMs", 400 }, { "suspicionMs", 3000 } }; }
 
@@ -288,5 +222,7 @@
         measureStreams();
     if (chosen("objects"))
         measureObjects();
+    if (chosen("entry-streams"))
+        measureEntryStreams();
     return 0;
 }
