--- a/modules/duty/usage_reports.h
+++ b/modules/duty/usage_reports.h
@@ -3,6 +3,7 @@
 
 #include "core/outcome.h"
 #include "modules/limits/usage_ledger.h"
+#include <compare>
 #include <optional>
 
 namespace Onyxnotch {
@@ -11,7 +12,7 @@
     std::uint64_t window { 0 };
     TeamCounts counts {};
 
-    bool operator==(const UsageReport&) const = default;
+    auto operator<=>(const UsageReport&) const = default;
 };
 
 // As it is kept in the lease, so that a successor repeats exactly this.
@@ -22,6 +23,8 @@
     std::uint64_t windowMilliseconds { 5000 };
     // After a window's end, until the counts of all nodes have come: each tells the holder once a second at least.
     std::uint64_t settleMilliseconds { 1500 };
+
+    auto operator<=>(const UsageReportsOptions&) const = default;
 };
 
 class UsageReports {
@@ -31,6 +34,8 @@
     {
     }
 
+    auto operator<=>(const UsageReports&) const = default;
+
     // The report that stands in the lease, from this holder or an earlier one. It is sent again: nobody knows whether it arrived.
     void adopt(const std::optional<UsageReport>&);
     // The next report to decide on. Empty while one is decided and not sent, or none is due.
--- a/modules/placement/lease.h
+++ b/modules/placement/lease.h
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "core/outcome.h"
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -17,7 +18,7 @@
     std::uint64_t renewals { 0 };
     std::string note {}; // What holders have decided and later ones must keep to; passed on from holder to holder.
 
-    bool operator==(const LeaseRecord&) const = default;
+    auto operator<=>(const LeaseRecord&) const = default;
 };
 
 std::string leaseToJson(const LeaseRecord&);
@@ -28,6 +29,8 @@
     Milliseconds renewEvery { 3000 };
     // Others' clocks may run this much faster than ours, as a part; a holder stops that much early and a taker waits that much longer.
     double clockRateBound { 0.05 };
+
+    auto operator<=>(const LeaseOptions&) const = default;
 };
 
 enum class LeaseWriteKind {
@@ -41,13 +44,15 @@
     std::uint64_t version { 0 }; // Of the value that it replaces.
     LeaseRecord record {};
 
-    bool operator==(const LeaseWrite&) const = default;
+    auto operator<=>(const LeaseWrite&) const = default;
 };
 
 class LeaseMachine {
 public:
     LeaseMachine(std::string self, const LeaseOptions&);
 
+    auto operator<=>(const LeaseMachine&) const = default;
+
     // The lease was read: `record` is empty where the object does not exist.
     void observe(const std::optional<LeaseRecord>& record, std::uint64_t version, SteadyTime readSentAt, SteadyTime now);
     // What to write now, if anything. Needs an observation first.
