--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -41,7 +41,7 @@
         , forward(context, trafficView, metrics, entryOptions.forward, entryOptions.retries)
         , server(forward, entryOptions.callers)
         , peers(entryOptions.node)
-        , exchange(context, peers, { .listen = entryOptions.gossip, .seeds = entryOptions.seeds, .zone = entryOptions.zone }, [this](const PeerRow& row) { onRow(row); })
+        , exchange(context, peers, { .listen = entryOptions.gossip, .seeds = entryOptions.seeds, .zone = entryOptions.zone }, [this](const PeerRow& row, bool newLife) { onRow(row, newLife); })
         , readiness(context, entryOptions.readiness, [this](const HttpHead&) { return answerReadiness(); })
         , lifetime(wallMilliseconds())
         , ownClockDifference(static_cast<std::int64_t>(lifetime) - steadyMilliseconds())
@@ -71,10 +71,12 @@
 
     HttpResponse answerReadiness() const { return { .status = isReady() ? HttpStatus::ok : HttpStatus::serviceUnavailable }; }
 
-    void onRow(const PeerRow& row)
+    void onRow(const PeerRow& row, bool newLife)
     {
-        auto age = options.gossipPeriod * row.sequence;
-        forward.teams.onPeer(row.node, row.lifetime, age, row.teamTotals, steadyNow());
+        forward.teams.onPeer(row.node, row.lifetime, Milliseconds(row.ageMilliseconds), row.teamTotals, steadyNow());
+        // It may not have heard this node either, and until then counts on less of the teams' limits.
+        if (newLife)
+            exchange.sendTo(row.gossipAddress, ownRow(false));
         for (const auto& it : row.leavingEndpoints)
             forward.endpoints.markLeaving(it);
     }
@@ -106,16 +108,22 @@
         if (auto leftOut = forward.answeredLines.takeLeftOut() + forward.failedLines.takeLeftOut())
             logEvent(LogLevel::Info, "request_lines_left_out", { { "count", leftOut } });
         forward.endpoints.setPeerLoads(sumLoads(alive));
-        auto row = ownRow(configuration ? configuration->version() : 0);
-        exchange.send(row, !row.usage.empty());
+        // Usage is long, and wanted by one node: a row a second has it.
+        bool withUsage = ++ticks % usageEvery == 0;
+        exchange.send(ownRow(withUsage), withUsage);
         summary.set(std::make_shared<const NodeSummary>(summarize(alive, now)));
     }
 
-    // Entries of nodes that have gone for good stay in the store: then this is too many, and only caution after a start costs.
-    void expectNodes(unsigned nodes)
+    // The nodes that the store names. Entries of those that have gone for good stay there: then more are expected than there are, and
+    // only the caution after a start costs.
+    void meetNodes(const std::vector<PeerContact>& others)
     {
+        auto nodes = static_cast<unsigned>(others.size()) + 1;
         forward.teams.setExpectedNodes(nodes);
         logEvent(LogLevel::Info, "nodes_expected", { { "nodes", nodes } });
+        for (const auto& it : others)
+            exchange.addContact(it);
+        exchange.greetAll(ownRow(false));
     }
 
     // How long a silence means nothing depends on how often a node hears another one.
@@ -143,15 +151,15 @@
         return sums;
     }
 
-    PeerRow ownRow(std::uint64_t configurationVersion)
+    PeerRow ownRow(bool withUsage)
     {
+        auto configuration = view.configuration();
         ++sequence;
-        // Usage is long, and wanted by one node: a row a second has it.
-        bool withUsage = sequence % usageEvery == 0;
         return {
             .node = options.node,
             .lifetime = lifetime,
             .sequence = sequence,
+            .ageMilliseconds = static_cast<std::uint32_t>(toMilliseconds(steadyNow() - startedAt).count()),
             .zone = options.zone,
             .gossipAddress = exchange.address(),
             .controlAddress = controlAddress,
@@ -159,7 +167,7 @@
             .hasDuties = options.duties.reportsUsage || options.duties.ordersEndpoints,
             .holdsDuties = control.holdsDuties,
             .trueMilliseconds = static_cast<std::uint64_t>(steadyMilliseconds() + ownClockDifference),
-            .configurationVersion = configurationVersion,
+            .configurationVersion = configuration ? configuration->version() : 0,
             .watchesStore = control.watchesStore,
             .endpointsRevision = control.endpointsRevision,
             .teamTotals = forward.teams.ownTotals(),
@@ -252,7 +260,9 @@
     AsyncHttpServer readiness;
     std::uint64_t lifetime;
     std::int64_t ownClockDifference; // As read at the start: a step of the clock later changes nothing.
+    SteadyTime startedAt { steadyNow() };
     std::uint32_t sequence { 0 };
+    std::uint32_t ticks { 0 };
     Address controlAddress {};
 };
 
@@ -441,10 +451,10 @@
         auto nodes = co_await store->list(StoreKind::Nodes);
         if (!nodes)
             co_return false;
+        auto others = contactsOf(nodes.value());
+        asio::post(node.m_requests->context, [this, others] { node.m_requests->meetNodes(others); });
         const auto& objects = nodes.value().objects;
         auto own = std::find_if(objects.begin(), objects.end(), [this](const auto& it) { return it.name == node.m_options.node; });
-        auto others = static_cast<unsigned>(objects.size()) - (own == objects.end() ? 0U : 1U);
-        asio::post(node.m_requests->context, [this, others] { node.m_requests->expectNodes(others + 1); });
         if (own == objects.end()) {
             auto created = co_await store->create(StoreKind::Nodes, node.m_options.node, value);
             co_return created || created.error().code == ErrorCode::Conflict;
@@ -460,13 +470,24 @@
         auto nodes = co_await store->list(StoreKind::Nodes);
         if (!nodes)
             co_return;
-        for (const auto& it : nodes.value().objects) {
-            auto address = parseAddress(it.value.value("gossip", std::string()));
-            if (!address || it.name == node.m_options.node)
+        auto others = contactsOf(nodes.value());
+        asio::post(node.m_requests->context, [this, others] { node.m_requests->meetNodes(others); });
+    }
+
+    // The nodes of the store's list, without this one.
+    std::vector<PeerContact> contactsOf(const StoreObjects& nodes) const
+    {
+        std::vector<PeerContact> contacts;
+        for (const auto& it : nodes.objects) {
+            if (it.name == node.m_options.node)
                 continue;
-            PeerContact contact { .node = it.name, .lifetime = it.value.value("lifetime", std::uint64_t(0)), .gossipAddress = address.value() };
-            asio::post(node.m_requests->context, [this, contact] { node.m_requests->exchange.addContact(contact); });
+            auto address = parseAddress(it.value.value("gossip", std::string()));
+            if (address)
+                contacts.push_back({ .node = it.name, .lifetime = it.value.value("lifetime", std::uint64_t(0)), .gossipAddress = address.value() });
+            else
+                logEvent(LogLevel::Error, "node_entry_refused", { { "node", it.name }, { "error", address.error().message } });
         }
+        return contacts;
     }
 
     EntryNode& node;
--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -63,8 +63,10 @@
     auto now = steadyNow();
     for (const auto& it : message.value().contacts)
         m_table.addContact(it, now);
-    if (m_table.apply(message.value().row, now))
-        m_receiver(message.value().row);
+    const auto& row = message.value().row;
+    bool newLife = !m_table.hasHeard(row.node, row.lifetime);
+    if (m_table.apply(row, now))
+        m_receiver(row, newLife);
 }
 
 void PeerExchange::addContact(const PeerContact& contact) { m_table.addContact(contact, steadyNow()); }
@@ -116,16 +118,36 @@
     return contacts;
 }
 
+std::string PeerExchange::encode(const PeerRow& row)
+{
+    return encodeFrame(packMessage(MessageType::PeerRow, PeerMessage { .row = row, .contacts = someContacts() }));
+}
+
+void PeerExchange::sendBytes(const Address& address, const std::string& bytes)
+{
+    asio::error_code ec;
+    auto host = asio::ip::make_address(address.host, ec);
+    if (!ec)
+        m_socket.send_to(asio::buffer(bytes), { host, address.port }, 0, ec);
+    // Lost datagrams are made good by the next row.
+}
+
 void PeerExchange::send(const PeerRow& row, bool toDutyHolder)
 {
-    auto bytes = encodeFrame(packMessage(MessageType::PeerRow, PeerMessage { .row = row, .contacts = someContacts() }));
-    for (const auto& it : receivers(toDutyHolder)) {
-        asio::error_code ec;
-        auto host = asio::ip::make_address(it.host, ec);
-        if (!ec)
-            m_socket.send_to(asio::buffer(bytes), { host, it.port }, 0, ec);
-        // Lost datagrams are made good by the next row.
-    }
+    auto bytes = encode(row);
+    for (const auto& it : receivers(toDutyHolder))
+        sendBytes(it, bytes);
+}
+
+void PeerExchange::sendTo(const Address& address, const PeerRow& row) { sendBytes(address, encode(row)); }
+
+void PeerExchange::greetAll(const PeerRow& row)
+{
+    std::vector<Address> addresses;
+    addSome(m_table.contacts(), m_options.greetingFanOut, addresses);
+    auto bytes = encode(row);
+    for (const auto& it : addresses)
+        sendBytes(it, bytes);
 }
 
 } // namespace Onyxnotch
--- a/modules/peers/peer_exchange.h
+++ b/modules/peers/peer_exchange.h
@@ -21,12 +21,15 @@
     std::size_t zoneFanOut { 32 };
     // Of the other zones, this many hear each row, chosen anew each time; a small fleet hears all.
     std::size_t otherFanOut { 8 };
+    // Of one greeting: some 100 KB at most, once in a life. A larger fleet hears the rest by and by.
+    std::size_t greetingFanOut { 128 };
     std::size_t contactsPerMessage { 3 }; // By which nodes get to know of others.
 };
 
 class PeerExchange {
 public:
-    using RowReceiver = std::function<void(const PeerRow&)>;
+    // `newLife`: the node had not spoken since its last start.
+    using RowReceiver = std::function<void(const PeerRow&, bool newLife)>;
 
     PeerExchange(asio::io_context&, PeerTable&, const PeerExchangeOptions&, RowReceiver);
 
@@ -34,6 +37,10 @@
     Address address() const;
     // Sends the row now; one that the holder of the duties needs goes to it as well.
     void send(const PeerRow&, bool toDutyHolder);
+    // To one node: an answer to the first row of its life.
+    void sendTo(const Address&, const PeerRow&);
+    // To every node that is known so far, up to a bound: they answer, so that a node that has just started hears all at once.
+    void greetAll(const PeerRow&);
     void addContact(const PeerContact&);
     // How often, as a part of the rows that a node sends, a node of another zone hears one.
     double heardPart() const;
@@ -44,6 +51,8 @@
     std::vector<Address> receivers(bool withDutyHolder);
     void addSome(std::vector<PeerContact> contacts, std::size_t most, std::vector<Address>& addresses);
     std::vector<PeerContact> someContacts();
+    std::string encode(const PeerRow&);
+    void sendBytes(const Address&, const std::string& bytes);
 
     PeerTable& m_table;
     PeerExchangeOptions m_options;
--- a/modules/peers/peer_row.h
+++ b/modules/peers/peer_row.h
@@ -30,6 +30,7 @@
     std::string node {};
     std::uint64_t lifetime { 0 }; // Chosen at each start, higher than any before.
     std::uint32_t sequence { 0 }; // Of the row in this life.
+    std::uint32_t ageMilliseconds { 0 }; // How long this life has lasted.
     std::string zone {};
     Address gossipAddress {};
     Address controlAddress {}; // Serves the configuration to peers.
@@ -51,7 +52,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(node, lifetime, sequence, zone, gossipAddress, controlAddress, leaving, hasDuties, holdsDuties, trueMilliseconds, configurationVersion, watchesStore, endpointsRevision, teamTotals, usage,
+        archive(node, lifetime, sequence, ageMilliseconds, zone, gossipAddress, controlAddress, leaving, hasDuties, holdsDuties, trueMilliseconds, configurationVersion, watchesStore, endpointsRevision, teamTotals, usage,
             loads, leavingEndpoints, demand);
     }
 };
--- a/modules/peers/peer_table.cpp
+++ b/modules/peers/peer_table.cpp
@@ -32,6 +32,12 @@
     return true;
 }
 
+bool PeerTable::hasHeard(const std::string& node, std::uint64_t lifetime) const
+{
+    auto it = m_entries.find(node);
+    return it != m_entries.end() && it->second.spoke && it->second.row.lifetime >= lifetime;
+}
+
 void PeerTable::addContact(const PeerContact& contact, SteadyTime now)
 {
     if (contact.node == m_self || contact.node.empty() || m_entries.size() >= m_options.maximumNodes)
