--- a/main/cli_main.cpp
+++ b/main/cli_main.cpp
@@ -20,6 +20,7 @@
   onyxnotch watch --objects ADDRESS [--count COUNT]
   onyxnotch status (--gateway ADDRESS)... [--key-file FILE] [--objects ADDRESS]
   onyxnotch explain REQUEST (--gateway ADDRESS)... [--key-file FILE]
+  onyxnotch explain REQUEST (--log FILE)...
   onyxnotch chat SERVICE PROMPT (--gateway ADDRESS)... --key-file FILE [--max-tokens COUNT]
   onyxnotch call SERVICE PATH BODY (--gateway ADDRESS)... --key-file FILE [--once]
   onyxnotch settings-reference
@@ -30,6 +31,7 @@
   --objects ADDRESS     Object API of the platform, HOST:PORT.
   --gateway ADDRESS     Gateway to ask, HOST:PORT; may be given several times.
   --key-file FILE       File with the bearer key.
+  --log FILE            Log of a process; may be given several times.
   --if-version VERSION  Refuse objects that were changed after this version.
   --max-tokens COUNT    Longest answer [default: 256].
   --count COUNT         End after so many changes [default: 1000000].
@@ -104,6 +106,8 @@
         return watchConfiguration(objects, static_cast<unsigned>(requireNumber("--count", arguments.text("--count"))));
     if (arguments.flag("status"))
         return showStatus(gateways, key, objects);
+    if (arguments.flag("explain") && !arguments.list("--log").empty())
+        return explainFromLogs(arguments.list("--log"), arguments.text("REQUEST"));
     if (arguments.flag("explain"))
         return explainRequest(gateways, key, arguments.text("REQUEST"));
     if (arguments.flag("chat"))
--- a/main/operator_commands.cpp
+++ b/main/operator_commands.cpp
@@ -7,6 +7,7 @@
 #include "modules/client/client.h"
 #include "modules/declaration/configuration_store.h"
 #include "modules/placement/placement_plan.h"
+#include "modules/report/request_account.h"
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -247,6 +248,22 @@
     return ExitCode::Success;
 }
 
+ExitCode explainFromLogs(const std::vector<std::string>& paths, const std::string& requestId)
+{
+    ParsedLog log;
+    for (const auto& path : paths) {
+        auto text = readFile(path);
+        if (!text)
+            return fail(text.error());
+        parseLog(text.value(), log);
+    }
+    auto account = requestAccount(log, requestId);
+    if (account.empty())
+        return fail({ ErrorCode::NotFound, "no line names request " + requestId + " (" + std::to_string(log.lines.size()) + " lines read, " + std::to_string(log.skipped) + " not understood)" });
+    std::cout << account;
+    return ExitCode::Success;
+}
+
 ExitCode explainRequest(const std::vector<Address>& gateways, const std::string& key, const std::string& requestId)
 {
     auto explanation = askGateways(gateways, key, "/v1/explain/" + requestId);
--- a/main/operator_commands.h
+++ b/main/operator_commands.h
@@ -20,6 +20,8 @@
 // Writes each new configuration version as it is accepted, up to `count`.
 ExitCode watchConfiguration(const Address& objects, unsigned count);
 ExitCode showStatus(const std::vector<Address>& gateways, const std::string& key, const Address& objects);
+// From the logs of entry nodes: what happened to a request, and why.
+ExitCode explainFromLogs(const std::vector<std::string>& paths, const std::string& requestId);
 ExitCode explainRequest(const std::vector<Address>& gateways, const std::string& key, const std::string& requestId);
 // Calls as a caller: a model service.
 ExitCode callChat(const std::vector<Address>& gateways, const std::string& key, const std::string& service, const std::string& prompt, unsigned maximumTokens);
--- a/modules/duty/duty_runner.cpp
+++ b/modules/duty/duty_runner.cpp
@@ -173,7 +173,7 @@
         auto as = authority();
         auto taken = co_await m_cloud.order(as, order);
         logEvent(LogLevel::Info, "endpoints_ordered",
-            { { "service", order.service }, { "zone", order.zone }, { "reclaimable", order.reclaimable ? 1 : 0 }, { "endpoints", order.endpoints },
+            { { "service", order.service }, { "endpoint_zone", order.zone }, { "reclaimable", order.reclaimable ? 1 : 0 }, { "endpoints", order.endpoints },
                 { "fence", m_lease.fence() }, { "result", taken ? "taken" : taken.error().message } });
         if (taken)
             m_scaler.ordered(order, steadyNow());
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -366,7 +366,7 @@
             auto known = before ? before->endpoints.find(id) : list->endpoints.end();
             if (!before || known == before->endpoints.end() || known->second.leaving != endpoint.leaving)
                 logEvent(LogLevel::Info, "endpoint_listed",
-                    { { "endpoint", id }, { "service", endpoint.service }, { "zone", endpoint.zone }, { "address", endpoint.address.text() },
+                    { { "endpoint", id }, { "service", endpoint.service }, { "endpoint_zone", endpoint.zone }, { "address", endpoint.address.text() },
                         { "leaving", endpoint.leaving ? 1 : 0 }, { "reclaimable", endpoint.reclaimable ? 1 : 0 } });
         }
         if (before) {
--- /dev/null
+++ b/tests/modules/report/test_request_account.cpp
@@ -0,0 +1,66 @@
+#include "modules/report/request_account.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Onyxnotch;
+
+namespace {
+
+// Lines as onyxnotch-entry writes them, shortened.
+constexpr auto logText = R"(
+{"time_ms":1000,"event":"configuration_in_force","instance":"n-1","version":4,"source":"peer"}
+{"time_ms":2000,"event":"configuration_in_force","instance":"n-1","version":7,"source":"store"}
+{"time_ms":2500,"event":"store_lost","instance":"n-1","kind":"endpoints"}
+12.3 n-1 {"time_ms":5000,"event":"try_failed","instance":"n-1","request_id":"r-1","endpoint":"i-1","end":"stream_broken","try":1,"expected_ms":80,"ms":900,"events":10}
+{"time_ms":5001,"event":"request","instance":"n-1","request_id":"r-1","route":"read","team":"t","endpoint":"i-1","choice":"home","expected_ms":80,"uncached_tokens":900,"waiting_tokens":0,"configuration":7,"tries":1,"status":200,"outcome":"stream_cut","ms":1551,"first_event_ms":201}
+{"time_ms":4800,"event":"endpoint_listed","instance":"n-2","endpoint":"i-1","leaving":1}
+{"time_ms":4801,"event":"endpoint_listed","instance":"n-1","endpoint":"i-1","leaving":1}
+{"time_ms":5200,"event":"request","instance":"n-1","request_id":"r-2","route":"read","team":"t","endpoint":"","configuration":7,"tries":0,"status":429,"outcome":"team_limit","ms":0}
+{"time_ms":99000,"event":"endpoint_gone","instance":"n-1","endpoint":"i-1"}
+not a line of ours
+{"time_ms":"soon","event":"request"}
+)";
+
+ParsedLog parsed()
+{
+    ParsedLog log;
+    parseLog(logText, log);
+    return log;
+}
+
+bool holds(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RequestAccounts)
+
+BOOST_AUTO_TEST_CASE(lines_that_are_not_ours_are_counted)
+{
+    BOOST_TEST(parsed().lines.size() == 9U);
+    BOOST_TEST(parsed().skipped == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_cut_stream_is_traced_to_its_endpoint)
+{
+    auto text = requestAccount(parsed(), "r-1");
+    BOOST_TEST(holds(text, "configuration_in_force version 7, from store"));
+    BOOST_TEST(!holds(text, "version 4"));
+    BOOST_TEST(holds(text, "store_lost"));
+    BOOST_TEST(holds(text, "try 1 at i-1 ended: stream_broken after 900 ms (expected 80 ms), 10 events passed on"));
+    BOOST_TEST(holds(text, "ended: stream_cut, status 200 after 1551 ms"));
+    BOOST_TEST(holds(text, "-200 ms  n-2  i-1 leaving"));
+    BOOST_TEST(!holds(text, "gone\n"));
+    BOOST_TEST(holds(text, "was being taken away or died around then"));
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_names_its_limit)
+{
+    auto text = requestAccount(parsed(), "r-2");
+    BOOST_TEST(holds(text, "status 429"));
+    BOOST_TEST(holds(text, "Cause: Its team was at its limit"));
+    BOOST_TEST(!holds(text, "i-1"));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_no_line_names_has_no_account) { BOOST_TEST(requestAccount(parsed(), "r-3").empty()); }
+
+BOOST_AUTO_TEST_SUITE_END()
