--- a/tests/fakes/platform_stand_in.h
+++ b/tests/fakes/platform_stand_in.h
@@ -1,6 +1,7 @@
 // Stand-in of the users' platform for tests of the entry program: the store with versions and watches, and the cloud's calls.
 #pragma once
 
+#include "core/clock.h"
 #include "core/net/http_server.h"
 #include "core/net/http_status.h"
 #include <condition_variable>
@@ -64,6 +65,13 @@
         m_changed.notify_all();
     }
 
+    // When calls to the store came, refused ones included.
+    std::vector<SteadyTime> storeCalls() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_storeCalls;
+    }
+
     std::vector<CloudCall> cloudCalls(const std::string& path) const
     {
         std::lock_guard lock(m_mutex);
@@ -84,6 +92,7 @@
     HttpResponse guarded(const std::function<HttpResponse()>& work)
     {
         std::unique_lock lock(m_mutex);
+        m_storeCalls.push_back(steadyNow());
         if (m_down)
             return reply(HttpStatus::serviceUnavailable, Json::object());
         lock.unlock();
@@ -184,6 +193,7 @@
     std::uint64_t m_revision { 1 };
     std::map<std::string, std::map<std::string, Object>> m_kinds {};
     std::vector<CloudCall> m_cloudCalls {};
+    std::vector<SteadyTime> m_storeCalls {};
     bool m_down { false };
     HttpServer m_server;
 };
