--- a/main/cli_main.cpp
+++ b/main/cli_main.cpp
@@ -21,6 +21,7 @@
   onyxnotch status (--gateway ADDRESS)... [--key-file FILE] [--objects ADDRESS]
   onyxnotch explain REQUEST (--gateway ADDRESS)... [--key-file FILE]
   onyxnotch explain REQUEST (--log FILE)...
+  onyxnotch report burn (--log FILE)... [--page FILE] [--target PART] [--fast SECONDS] [--slow SECONDS]
   onyxnotch chat SERVICE PROMPT (--gateway ADDRESS)... --key-file FILE [--max-tokens COUNT]
   onyxnotch call SERVICE PATH BODY (--gateway ADDRESS)... --key-file FILE [--once]
   onyxnotch settings-reference
@@ -32,6 +33,10 @@
   --gateway ADDRESS     Gateway to ask, HOST:PORT; may be given several times.
   --key-file FILE       File with the bearer key.
   --log FILE            Log of a process; may be given several times.
+  --page FILE           Write the report there as an HTML page as well.
+  --target PART         Part of the requests that should be good [default: 0.95].
+  --fast SECONDS        Fast window [default: 300].
+  --slow SECONDS        Slow window [default: 3600].
   --if-version VERSION  Refuse objects that were changed after this version.
   --max-tokens COUNT    Longest answer [default: 256].
   --count COUNT         End after so many changes [default: 1000000].
@@ -78,6 +83,15 @@
     return key;
 }
 
+BurnOptions burnOptions(const CommandLine& arguments)
+{
+    constexpr std::uint64_t millisecondsPerSecond = 1000;
+    auto target = std::atof(arguments.text("--target").c_str());
+    if (target <= 0 || target >= 1)
+        exitWithUsageError("--target: it must lie between 0 and 1");
+    return { .target = target, .fastMilliseconds = requireNumber("--fast", arguments.text("--fast")) * millisecondsPerSecond, .slowMilliseconds = requireNumber("--slow", arguments.text("--slow")) * millisecondsPerSecond };
+}
+
 ExitCode run(const CommandLine& arguments)
 {
     auto objectsText = arguments.text("--objects");
@@ -106,6 +120,8 @@
         return watchConfiguration(objects, static_cast<unsigned>(requireNumber("--count", arguments.text("--count"))));
     if (arguments.flag("status"))
         return showStatus(gateways, key, objects);
+    if (arguments.flag("report"))
+        return reportBurn(arguments.list("--log"), arguments.text("--page"), burnOptions(arguments));
     if (arguments.flag("explain") && !arguments.list("--log").empty())
         return explainFromLogs(arguments.list("--log"), arguments.text("REQUEST"));
     if (arguments.flag("explain"))
--- a/main/operator_commands.cpp
+++ b/main/operator_commands.cpp
@@ -8,6 +8,7 @@
 #include "modules/declaration/configuration_store.h"
 #include "modules/placement/placement_plan.h"
 #include "modules/report/request_account.h"
+#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -248,22 +249,48 @@
     return ExitCode::Success;
 }
 
+namespace {
+
+    Result<ParsedLog> readLogs(const std::vector<std::string>& paths)
+    {
+        ParsedLog log;
+        for (const auto& path : paths) {
+            BOOST_OUTCOME_TRY(text, readFile(path));
+            parseLog(text, log);
+        }
+        return log;
+    }
+
+} // namespace
+
 ExitCode explainFromLogs(const std::vector<std::string>& paths, const std::string& requestId)
 {
-    ParsedLog log;
-    for (const auto& path : paths) {
-        auto text = readFile(path);
-        if (!text)
-            return fail(text.error());
-        parseLog(text.value(), log);
-    }
-    auto account = requestAccount(log, requestId);
+    auto log = readLogs(paths);
+    if (!log)
+        return fail(log.error());
+    auto account = requestAccount(log.value(), requestId);
     if (account.empty())
-        return fail({ ErrorCode::NotFound, "no line names request " + requestId + " (" + std::to_string(log.lines.size()) + " lines read, " + std::to_string(log.skipped) + " not understood)" });
+        return fail({ ErrorCode::NotFound, "no line names request " + requestId + " (" + std::to_string(log.value().lines.size()) + " lines read, " + std::to_string(log.value().skipped) + " not understood)" });
     std::cout << account;
     return ExitCode::Success;
 }
 
+ExitCode reportBurn(const std::vector<std::string>& logs, const std::string& pagePath, const BurnOptions& options)
+{
+    auto log = readLogs(logs);
+    if (!log)
+        return fail(log.error());
+    auto report = burnReport(log.value(), options);
+    std::cout << burnReportText(report);
+    if (pagePath.empty())
+        return ExitCode::Success;
+    std::ofstream page(pagePath);
+    page << burnReportPage(report, options);
+    if (!page.flush())
+        return fail({ ErrorCode::Unavailable, "cannot write " + pagePath });
+    return ExitCode::Success;
+}
+
 ExitCode explainRequest(const std::vector<Address>& gateways, const std::string& key, const std::string& requestId)
 {
     auto explanation = askGateways(gateways, key, "/v1/explain/" + requestId);
--- a/main/operator_commands.h
+++ b/main/operator_commands.h
@@ -3,6 +3,7 @@
 
 #include "core/command_line.h"
 #include "core/net/address.h"
+#include "modules/report/burn_report.h"
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
 ExitCode showStatus(const std::vector<Address>& gateways, const std::string& key, const Address& objects);
 // From the logs of entry nodes: what happened to a request, and why.
 ExitCode explainFromLogs(const std::vector<std::string>& paths, const std::string& requestId);
+// How fast routes and teams use up their error budget, as text, and as a page where a path is given.
+ExitCode reportBurn(const std::vector<std::string>& logs, const std::string& pagePath, const BurnOptions&);
 ExitCode explainRequest(const std::vector<Address>& gateways, const std::string& key, const std::string& requestId);
 // Calls as a caller: a model service.
 ExitCode callChat(const std::vector<Address>& gateways, const std::string& key, const std::string& service, const std::string& prompt, unsigned maximumTokens);
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -448,7 +448,7 @@
         { { "request_id", m_requestId }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() },
             { "team", m_team ? std::string_view(m_team->name) : std::string_view() }, { "endpoint", m_lastEndpoint }, { "choice", m_choiceReason },
             { "expected_ms", m_expectedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "endpoints_revision", m_endpointsRevision },
-            { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_wantedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_fate.tries() }, { "status", status }, { "outcome", outcome },
+            { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_wantedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_fate.tries() }, { "status", status }, { "outcome", outcome }, { "objective_ms", m_route ? m_route->objective.count() : 0L },
             { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "left_ms", m_route ? timeLeft().count() : 0L } });
 }
 
