Notice the store's return in time: short watches after a failure, and no long wait for a connection

A watch that begins while the store says nothing lasted its whole ten seconds, and a lost opening packet is sent again only after 1, 3 and 7 seconds. Seen in the logs: lost at 17.2 s, the store back at 19.0, regained at 24.6 to 29.0. Now the first watch after a failure lasts half a second, doubled with each answer, and a connection has 700 ms to come up. Members that nothing used are gone.

--- a/core/net/async_http_client.cpp
+++ b/core/net/async_http_client.cpp
@@ -1,5 +1,7 @@
 #include "core/net/async_http_client.h"
 
+#include <algorithm>
+
 namespace Onyxnotch {
 
 namespace {
@@ -7,6 +9,10 @@
     constexpr std::size_t maximumHeadBytes = 65536;
     constexpr std::size_t maximumIdle = 3; // A kept connection for calls beside those that wait for changes.
 
+    // A lost opening packet is sent again after 1, 3 and 7 seconds: by then a new connection would long be there. Many round trips, and
+    // as long as a short call may take in all.
+    constexpr Milliseconds connectTimeout { 700 };
+
     std::string encode(const AsyncHttpCall& call, const Address& address)
     {
         std::string text = call.method + " " + call.target + " HTTP/1.1\r\nHost: " + address.text() + "\r\n";
@@ -43,7 +49,7 @@
             co_return connection;
     }
     auto connection = std::make_shared<AsyncConnection>(m_context);
-    auto ec = co_await connection->connect(m_address, deadline);
+    auto ec = co_await connection->connect(m_address, std::min(deadline, steadyNow() + connectTimeout));
     if (ec)
         co_return Error { ErrorCode::Unavailable, "cannot connect to " + m_address.text() + ": " + ec.message() };
     connection->probeWhenIdle();
--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -66,16 +66,6 @@
     return it == m_memoryTokens.end() ? 0 : it->second;
 }
 
-std::vector<std::shared_ptr<EndpointState>> EndpointBook::endpointsOf(const std::string& service) const
-{
-    auto found = m_ofService.find(service);
-    if (found == m_ofService.end())
-        return {};
-    std::vector<std::shared_ptr<EndpointState>> endpoints;
-    std::copy_if(found->second.begin(), found->second.end(), std::back_inserter(endpoints), [&](const auto& it) { return !m_leaving.contains(it->listed.id); });
-    return endpoints;
-}
-
 std::optional<ChosenEndpoint> EndpointBook::choose(const EndpointRequest& request, SteadyTime now)
 {
     auto found = m_ofService.find(request.service);
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -70,7 +70,6 @@
     // Empty where the service has no endpoint that may be used.
     std::optional<ChosenEndpoint> choose(const EndpointRequest&, SteadyTime now);
     // Endpoints of a service that take requests, set aside or not.
-    std::vector<std::shared_ptr<EndpointState>> endpointsOf(const std::string& service) const;
 
     // Counts a request in flight from construction to destruction.
     class Flight {
--- a/modules/control/node_summary.h
+++ b/modules/control/node_summary.h
@@ -21,7 +21,6 @@
     Address peerConfigurationAddress {};
     WindowCounts usage {}; // Over all nodes.
     std::map<std::string, ServiceDemand> demand {}; // Over all nodes, by service.
-    std::size_t busy { 0 }; // Requests on this node.
 };
 
 class NodeSummarySlot {
--- a/modules/control/object_store.h
+++ b/modules/control/object_store.h
@@ -49,7 +49,6 @@
     // Returns the object's revision. Errors: Conflict where the condition does not hold, Ambiguous where the answer was lost.
     virtual asio::awaitable<Result<std::uint64_t>> create(StoreKind, const std::string& name, const nlohmann::json& value) = 0;
     virtual asio::awaitable<Result<std::uint64_t>> replace(StoreKind, const std::string& name, std::uint64_t revision, const nlohmann::json& value) = 0;
-    virtual asio::awaitable<Status> remove(StoreKind, const std::string& name) = 0;
 };
 
 // How many endpoints of a service an availability zone should hold.
--- a/modules/control/store_follower.cpp
+++ b/modules/control/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "modules/control/store_follower.h"
 
 #include "core/log.h"
+#include <algorithm>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
 
@@ -32,16 +33,19 @@
     , m_receiver(std::move(receiver))
     , m_options(options)
     , m_nextPause(options.firstPause)
+    , m_nextWait(options.firstWait)
 {
 }
 
 void StoreFollower::noteResult(const Error* error)
 {
     bool connected = error == nullptr;
-    if (!connected)
-        m_lastFailure = steadyNow();
-    else
+    if (connected) {
         m_nextPause = m_options.firstPause;
+    } else {
+        m_lastFailure = steadyNow();
+        m_nextWait = m_options.firstWait;
+    }
     if (connected == m_connected)
         return;
     m_connected = connected;
@@ -86,7 +90,7 @@
 
 asio::awaitable<bool> StoreFollower::watch()
 {
-    auto changes = co_await m_store.watch(m_kind, m_revision, m_options.watchWait);
+    auto changes = co_await m_store.watch(m_kind, m_revision, m_nextWait);
     if (!changes && changes.error().code == ErrorCode::Exhausted) {
         logEvent(LogLevel::Info, "store_history_gone", { { "kind", nameOf(m_kind) }, { "revision", m_revision } });
         m_listed = false;
@@ -95,6 +99,7 @@
     noteResult(changes ? nullptr : &changes.error());
     if (!changes)
         co_return false;
+    m_nextWait = std::min(m_nextWait * 2, m_options.watchWait);
     m_revision = std::max(m_revision, changes.value().revision);
     for (auto& it : changes.value().objects) {
         if (it.deleted)
--- a/modules/control/store_follower.h
+++ b/modules/control/store_follower.h
@@ -12,6 +12,9 @@
 
 struct StoreFollowerOptions {
     Milliseconds watchWait { 10000 }; // A call is priced; a peer that went silent is noticed by probes of the connection.
+    // The first watch after a failure, doubled with each that is answered, up to watchWait: a store that takes connections and says
+    // nothing shows only by this time being over.
+    Milliseconds firstWait { 500 };
     Milliseconds firstPause { 100 }; // After a failure, doubled each time, up to
     Milliseconds longestPause { 500 }; // which bounds how late the store's return is noticed.
     Milliseconds idleStep { 200 }; // How often a follower that is not wanted looks whether it is.
@@ -54,6 +57,7 @@
     bool m_everConnected { false };
     SteadyTime m_lastFailure {};
     Milliseconds m_nextPause;
+    Milliseconds m_nextWait;
     std::minstd_rand m_random { std::random_device {}() };
 };
 
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -193,7 +193,6 @@
             .watchesStore = shouldWatchStore(options.node, options.zone, alive, options.watching),
             .usage = peers.usage(),
             .demand = forward.demand.demand(),
-            .busy = server.busy(),
         };
         for (const auto& [window, counts] : forward.usage.windows()) {
             for (const auto& [team, count] : counts)
@@ -367,7 +366,7 @@
             if (!before || known == before->endpoints.end() || known->second.leaving != endpoint.leaving)
                 logEvent(LogLevel::Info, "endpoint_listed",
                     { { "endpoint", id }, { "service", endpoint.service }, { "endpoint_zone", endpoint.zone }, { "address", endpoint.address.text() },
-                        { "leaving", endpoint.leaving ? 1 : 0 }, { "reclaimable", endpoint.reclaimable ? 1 : 0 } });
+                        { "leaving", endpoint.leaving ? 1 : 0 }, { "leaves_in_ms", endpoint.leavesIn ? endpoint.leavesIn->count() : -1L }, { "reclaimable", endpoint.reclaimable ? 1 : 0 } });
         }
         if (before) {
             for (const auto& [id, endpoint] : before->endpoints) {
--- a/modules/traffic/endpoint_list.h
+++ b/modules/traffic/endpoint_list.h
@@ -21,7 +21,6 @@
     bool leaving { false };
     bool reclaimable { false }; // It may be taken away with little notice.
     std::optional<Milliseconds> leavesIn {}; // From when the entry was read, where the platform said so.
-    Milliseconds coldFor { 0 }; // It works slower for this long after its start.
 
     bool operator==(const ListedEndpoint&) const = default;
 };
--- a/modules/traffic/traffic_configuration.h
+++ b/modules/traffic/traffic_configuration.h
@@ -51,8 +51,6 @@
 struct EngineProfile {
     unsigned slots { 64 };
     double memoryTokens { 0 }; // Of the prefix memory that running requests and kept prefixes share.
-    bool movesRuns { false };
-    bool backsUpRuns { false };
 
     bool operator==(const EngineProfile&) const = default;
 };
