--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -66,6 +66,22 @@
     bucket.level = std::clamp(level, -bucket.ratePerSecond * m_options.maximumDebtSeconds, bucket.burst);
 }
 
+bool TeamLimits::hearsAll(SteadyTime now) const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& it) { return now - it.second.heardAt <= 2 * m_options.freshFor; });
+}
+
+double TeamLimits::neededLevel(const TrafficTeam& team, double amount, SteadyTime now) const
+{
+    // Each node may overdraw its level by one request. Nodes that do not know each other would all do so at once: until it has heard the
+    // others, a node needs a part of the amount beforehand.
+    auto unheard = 1 - spendablePart(now);
+    if (unheard > 0)
+        return amount * unheard;
+    bool small = amount < team.ratePerSecond * m_options.smallPart;
+    return small && hearsAll(now) ? -team.ratePerSecond * m_options.smallDebtSeconds : 0;
+}
+
 std::optional<Milliseconds> TeamLimits::admit(const TrafficTeam& team, double amount, SteadyTime now)
 {
     if (team.ratePerSecond <= 0)
@@ -76,16 +92,13 @@
     bucket.ratePerSecond = team.ratePerSecond;
     bucket.burst = team.burst;
     advance(team.name, bucket, now);
-    // Each node may overdraw its level by one request. Nodes that do not know each other would all do so at once: until it has heard the
-    // others, a node needs a part of the amount beforehand.
-    bool covered = bucket.level > 0 && bucket.level >= amount * (1 - spendablePart(now));
-    if (covered) {
+    auto needed = neededLevel(team, amount, now);
+    if (bucket.level > needed) {
         bucket.level -= amount;
         m_ownTotals[team.name] += amount;
         return std::nullopt;
     }
-    auto missing = std::max(0.0, amount * (1 - spendablePart(now))) - bucket.level;
-    auto wait = Milliseconds(static_cast<std::int64_t>(missing / team.ratePerSecond * 1000));
+    auto wait = Milliseconds(static_cast<std::int64_t>((needed - bucket.level) / team.ratePerSecond * 1000));
     return std::clamp(wait, shortestWait, longestWait);
 }
 
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -16,6 +16,11 @@
     // shares of the nodes that it has heard and of itself.
     Milliseconds cautiousFor { 2000 };
     unsigned expectedNodes { 10 }; // In the fleet, this one included, until the store has told; the users' sites have nine.
+    // A large request may overdraw a level by seconds of the rate; small ones, each below this part of a second's rate, are let through
+    // meanwhile, down to this much debt in seconds of the rate. They are charged like all others: the rate over time stays the same.
+    // Only while all peers are heard: nodes that are cut off from each other would each run up such a debt.
+    double smallPart { 0.01 };
+    double smallDebtSeconds { 0.75 };
     double maximumDebtSeconds { 8 }; // Of the rate, that an overshoot is paid back for.
 };
 
@@ -63,6 +68,9 @@
     // Of the rate, that may be spent by this node and those that it has heard.
     double spendablePart(SteadyTime now) const;
     double firstLevel(const TrafficTeam&, SteadyTime now) const;
+    bool hearsAll(SteadyTime now) const;
+    // The level that a request of this amount needs.
+    double neededLevel(const TrafficTeam&, double amount, SteadyTime now) const;
     double expectedTotal(const Peer&, const PeerUse&, double ratePerSecond, SteadyTime now) const;
 
     TeamLimitsOptions m_options;
--- a/tests/modules/limits/test_team_limits.cpp
+++ b/tests/modules/limits/test_team_limits.cpp
@@ -142,6 +142,29 @@
     BOOST_TEST(admitted > rate * end / 1000 * 0.5);
 }
 
+// Found by the bench: a gate's confirmations of 200 tokens were refused because a manifest of 27,000 had just been let through.
+BOOST_AUTO_TEST_CASE(small_requests_pass_while_a_large_one_is_paid_back_and_the_rate_stays)
+{
+    TeamLimits limits(start);
+    BOOST_TEST(!limits.admit(team(50000), 75000, at(5000)).has_value());
+    BOOST_TEST(!limits.admit(team(50000), 200, at(5000)).has_value());
+    BOOST_TEST(limits.admit(team(50000), 5000, at(5000)).has_value());
+    double admitted = 0;
+    for (int now = 5000; now < 25000; now += 2) {
+        for (double amount : { 200.0, 200.0, 17000.0 }) {
+            if (!limits.admit(team(50000), amount, at(now)))
+                admitted += amount;
+        }
+    }
+    BOOST_TEST(admitted < 50000.0 * 21);
+    BOOST_TEST(admitted > 50000.0 * 19);
+    // A peer that went silent may be doing the same.
+    limits.onPeer("p", 1, age(at(25000)), { { "t", 0.0 } }, at(25000));
+    BOOST_TEST(limits.admit(team(50000), 200, at(30000)).has_value() == false);
+    BOOST_TEST(!limits.admit(team(50000), 75000, at(30000)).has_value());
+    BOOST_TEST(limits.admit(team(50000), 200, at(30000)).has_value());
+}
+
 // Cut off from all others, each node keeps to an even share.
 BOOST_AUTO_TEST_CASE(a_node_that_is_cut_off_keeps_to_its_share)
 {
