--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -94,7 +94,7 @@
             .inFlight = it->inFlight + it->peersInFlight,
             .waitingTokens = it->waitingTokens + it->peersWaitingTokens,
             .keptTokens = it->prefixes.keptTokens(request.parts),
-            .slowness = it->pace.slowness(now),
+            .slowness = it->slowness,
             .rank = mixHash(hashText(it->listed.id), key),
             .sameZone = it->listed.zone == m_zone,
         });
@@ -136,18 +136,6 @@
     m_options.prefillTokensPerSecond += learningPart * (tokens / seconds - m_options.prefillTokensPerSecond);
 }
 
-void EndpointBook::observeAnswer(EndpointState& endpoint, double expected, double seconds, SteadyTime now)
-{
-    // Below this, delays of the network and of steps count more than the endpoint.
-    constexpr double leastExpected = 0.02;
-    // What was expected counts the slowness in that is known already.
-    auto ratio = seconds / std::max(expected / endpoint.pace.slowness(now), leastExpected);
-    auto& usual = m_usualRatio.try_emplace(endpoint.listed.service, ratio).first->second;
-    usual += learningPart * (ratio - usual);
-    if (usual > 0)
-        endpoint.pace.observe(ratio / usual, now);
-}
-
 EndpointBook::Flight::Flight(std::shared_ptr<EndpointState> endpoint, double waitingTokens)
     : m_endpoint(std::move(endpoint))
     , m_waitingTokens(waitingTokens)
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -4,7 +4,6 @@
 #include "core/net/async_connection.h"
 #include "modules/balance/endpoint_choice.h"
 #include "modules/balance/endpoint_health.h"
-#include "modules/balance/endpoint_pace.h"
 #include "modules/balance/prefix_cache.h"
 #include "modules/traffic/traffic_view.h"
 #include <deque>
@@ -37,8 +36,8 @@
     double waitingTokens { 0 };
     double peersInFlight { 0 };
     double peersWaitingTokens { 0 };
+    double slowness { 1 };
     EndpointHealth health {};
-    EndpointPace pace {};
     PrefixCache prefixes {};
 };
 
@@ -96,8 +95,6 @@
 
     // Learnt rates.
     void observePrefill(double tokens, double seconds);
-    // An endpoint's answer, or first event, came after `seconds`; `expected` as the choice said.
-    void observeAnswer(EndpointState&, double expected, double seconds, SteadyTime now);
     const ChoiceOptions& choiceOptions() const { return m_options; }
 
 private:
@@ -110,7 +107,6 @@
     std::map<std::string, std::vector<std::shared_ptr<EndpointState>>> m_ofService {};
     std::map<std::string, double> m_memoryTokens {}; // By service.
     std::map<std::string, SteadyTime> m_leaving {}; // Since when it is known, by id. Never taken back.
-    std::map<std::string, double> m_usualRatio {}; // Of answers' times to those expected, by service: estimates are off by as much.
     ChoiceOptions m_options {};
 };
 
--- a/modules/balance/endpoint_choice.cpp
+++ b/modules/balance/endpoint_choice.cpp
@@ -12,10 +12,8 @@
     // Where all slots are taken, one comes free after a part of a usual request.
     auto slots = static_cast<double>(std::max(1U, candidate.slots));
     auto queued = std::max(0.0, candidate.inFlight + 1 - slots) / slots * options.requestSeconds;
-    // Without a prompt there is no other measure of the work.
-    auto work = request.promptTokens > 0 ? 0 : options.requestSeconds;
     auto zone = candidate.sameZone ? 0 : options.otherZoneSeconds;
-    return (work + prefill + batch + queued) * candidate.slowness + zone;
+    return (prefill + batch + queued) * candidate.slowness + zone;
 }
 
 std::optional<EndpointChoice> chooseEndpoint(const std::vector<ChoiceCandidate>& candidates, const ChoiceRequest& request, const ChoiceOptions& options)
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -205,7 +205,7 @@
     return m_route->kind == RequestKind::Stream && head.status / 100 == 2 && head.find(m_context.options.names.receipt) && !head.find("content-encoding");
 }
 
-asio::awaitable<TryEnd> Exchange::relayWhole(EndpointCall& call, const ChosenEndpoint& chosen)
+asio::awaitable<TryEnd> Exchange::relayWhole(EndpointCall& call, const ChosenEndpoint&)
 {
     auto status = co_await call.readWholeBody();
     if (status != CallStatus::Good)
@@ -218,7 +218,6 @@
     // To the caller this status would say that the request has not run; the endpoint has not said so.
     if (HttpStatus::promisesNotRun(call.head().status))
         co_return TryEnd::MayHaveRun;
-    m_context.endpoints.observeAnswer(*chosen.endpoint, chosen.expectedSeconds, std::chrono::duration<double>(steadyNow() - m_sentAt).count(), steadyNow());
     if (call.head().status / 100 == 5) {
         m_failure = call.head();
         m_failureBody = std::move(call.body());
@@ -278,7 +277,6 @@
     auto seconds = std::chrono::duration<double>(steadyNow() - m_sentAt).count();
     m_firstEventMilliseconds = toMilliseconds(steadyNow() - m_request.arrivedAt).count();
     m_flight->prefilled();
-    m_context.endpoints.observeAnswer(*chosen.endpoint, chosen.expectedSeconds, seconds, steadyNow());
     // Only a request that found nothing waiting tells how fast a prompt is read.
     if (chosen.endpoint->waitingTokens == 0 && chosen.endpoint->peersWaitingTokens == 0)
         m_context.endpoints.observePrefill(chosen.uncachedTokens, seconds);
