--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -94,7 +94,6 @@
             .inFlight = it->inFlight + it->peersInFlight,
             .waitingTokens = it->waitingTokens + it->peersWaitingTokens,
             .keptTokens = it->prefixes.keptTokens(request.parts),
-            .slowness = it->slowness,
             .rank = mixHash(hashText(it->listed.id), key),
             .sameZone = it->listed.zone == m_zone,
         });
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -36,7 +36,6 @@
     double waitingTokens { 0 };
     double peersInFlight { 0 };
     double peersWaitingTokens { 0 };
-    double slowness { 1 };
     EndpointHealth health {};
     PrefixCache prefixes {};
 };
--- a/modules/balance/endpoint_choice.cpp
+++ b/modules/balance/endpoint_choice.cpp
@@ -13,7 +13,7 @@
     auto slots = static_cast<double>(std::max(1U, candidate.slots));
     auto queued = std::max(0.0, candidate.inFlight + 1 - slots) / slots * options.requestSeconds;
     auto zone = candidate.sameZone ? 0 : options.otherZoneSeconds;
-    return (prefill + batch + queued) * candidate.slowness + zone;
+    return prefill + batch + queued + zone;
 }
 
 std::optional<EndpointChoice> chooseEndpoint(const std::vector<ChoiceCandidate>& candidates, const ChoiceRequest& request, const ChoiceOptions& options)
--- a/modules/balance/endpoint_choice.h
+++ b/modules/balance/endpoint_choice.h
@@ -15,7 +15,6 @@
     double inFlight { 0 }; // Of this node, and of the others as far as they have said.
     double waitingTokens { 0 }; // Prompt tokens that were sent there and not yet answered by a first event.
     double keptTokens { 0 }; // Of this prompt, expected in its prefix memory.
-    double slowness { 1 }; // Its time for the same work against a usual endpoint's.
     std::uint64_t rank { 0 }; // The endpoint's hash with the prompt's prefix: all nodes rank alike.
     bool sameZone { false };
 
