--- a/modules/report/request_account.cpp
+++ b/modules/report/request_account.cpp
@@ -170,7 +170,9 @@
             ++log.skipped;
             continue;
         }
-        log.lines.push_back({ .milliseconds = fields["time_ms"], .instance = fields.value("instance", ""), .event = fields["event"], .fields = std::move(fields) });
+        LogLine parsed { .milliseconds = fields["time_ms"], .instance = fields.value("instance", ""), .event = fields["event"] };
+        parsed.fields = std::move(fields);
+        log.lines.push_back(std::move(parsed));
     }
 }
 
--- a/servers/membership/membership_documents.cpp
+++ b/servers/membership/membership_documents.cpp
@@ -12,7 +12,6 @@
 namespace {
 
     constexpr Milliseconds peerTimeout { 1000 };
-    constexpr Milliseconds tick { 50 };
 
 } // namespace
 
--- a/tests/entry/test_forwarding.cpp
+++ b/tests/entry/test_forwarding.cpp
@@ -317,7 +317,7 @@
     });
     // The first is let through; charged for, it would keep the team out for a minute.
     auto large = request("GET", "/safe/a", "id-1", "Token-Counts: 6000,0\r\n");
-    BOOST_REQUIRE(waitUntil([&] { return one.ask(large).head.status == HttpStatus::serviceUnavailable && one.endpoint.requests().size() > 0; }));
+    BOOST_REQUIRE(waitUntil([&] { return one.ask(large).head.status == HttpStatus::serviceUnavailable && !one.endpoint.requests().empty(); }));
     one.endpoint.setScript(plainAnswer);
     BOOST_TEST(waitUntil([&] { return one.ask(request("GET", "/safe/a", "id-2", "Token-Counts: 10,0\r\n")).head.status == HttpStatus::ok; }, Milliseconds(5000)));
 }
--- a/tests/entry/test_recovery.cpp
+++ b/tests/entry/test_recovery.cpp
@@ -29,6 +29,7 @@
     site.declare(EntrySite::declaration(3));
     site.addEndpoint("i-1", [](const auto& it) { return Fakes::ScriptedAnswer { .bytes = answerTo(it, "hello") }; });
     std::vector<EntryProcess*> running;
+    running.reserve(nodes);
     for (int n = 0; n < nodes; ++n)
         running.push_back(&site.startNode("node-" + std::to_string(n)));
     for (auto* it : running)
@@ -38,6 +39,7 @@
         it->process->signal(SIGKILL);
     auto killedAt = steadyNow();
     std::vector<EntryProcess*> again;
+    again.reserve(nodes);
     for (int n = 0; n < nodes; ++n)
         again.push_back(&site.startNode("node-" + std::to_string(n)));
     for (int n = 0; n < nodes; ++n)
