--- a/modules/report/burn_report.cpp
+++ b/modules/report/burn_report.cpp
@@ -116,7 +116,7 @@
         for (std::size_t n = 0; n < points.size(); ++n)
             line += rounded(width * static_cast<double>(n) / static_cast<double>(std::max<std::size_t>(1, points.size() - 1))) + "," + y(points[n]) + " ";
         return "<svg width=\"640\" height=\"80\" viewBox=\"0 0 640 80\"><rect width=\"640\" height=\"80\" fill=\"#f4f4f4\"/><line x1=\"0\" x2=\"640\" y1=\"" + y(1) + "\" y2=\"" + y(1)
-            + "\" stroke=\"#888\" stroke-dasharray=\"4\"/><polyline fill=\"none\" stroke=\"#b03020\" stroke-width=\"2\" points=\"" + line + "\"/></svg><small>highest " + rounded(most) + "</small>";
+            + "\" stroke=\"#888\" stroke-dasharray=\"4\"/><polyline fill=\"none\" stroke=\"#b03020\" stroke-width=\"2\" points=\"" + line + "\"/></svg><small>scale to " + rounded(most) + "</small>";
     }
 
     constexpr auto pageHead = R"(<!doctype html><html lang="en"><meta charset="utf-8"><title>Service-level burn</title>
