--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -99,6 +99,7 @@
             forward.endpoints.update(view.endpoints(), *configuration);
         peers.forgetOld(now);
         adaptToFleet();
+        expectNodes();
         auto alive = peers.alive(now);
         forward.nodes = static_cast<unsigned>(alive.size()) + 1;
         forward.retries.setNodes(forward.nodes);
@@ -118,20 +119,28 @@
     // only the caution after a start costs.
     void meetNodes(const std::vector<PeerContact>& others)
     {
-        auto nodes = static_cast<unsigned>(others.size()) + 1;
-        forward.teams.setExpectedNodes(nodes);
-        logEvent(LogLevel::Info, "nodes_expected", { { "nodes", nodes } });
+        listedNodes = static_cast<unsigned>(others.size()) + 1;
+        logEvent(LogLevel::Info, "nodes_expected", { { "nodes", listedNodes } });
         for (const auto& it : others)
             exchange.addContact(it);
+        expectNodes();
         exchange.greetAll(ownRow(false));
     }
 
+    // While the store is away, other nodes' messages name some. Without either, as many as the limits take by themselves.
+    void expectNodes()
+    {
+        auto named = static_cast<unsigned>(peers.contacts().size()) + 1;
+        if (listedNodes > 0 || named > forward.teams.expectedNodes())
+            forward.teams.setExpectedNodes(std::max(listedNodes, named));
+    }
+
     // How long a silence means nothing depends on how often a node hears another one.
     void adaptToFleet()
     {
         constexpr double rowsUntilSilent = 6;
         constexpr double rowsWhileFresh = 3;
-        constexpr double rowsUntilHeard = 8; // By then a node has heard all others but one or two in ten thousand.
+        constexpr double rowsUntilHeard = 8; // By then a node has heard all others but some three in ten thousand.
         auto between = static_cast<double>(options.gossipPeriod.count()) / exchange.heardPart();
         peers.setSilentAfter(Milliseconds(static_cast<std::int64_t>(between * rowsUntilSilent)));
         forward.teams.setFreshFor(Milliseconds(static_cast<std::int64_t>(between * rowsWhileFresh)));
@@ -262,6 +271,7 @@
     SteadyTime startedAt { steadyNow() };
     std::uint32_t sequence { 0 };
     std::uint32_t ticks { 0 };
+    unsigned listedNodes { 0 }; // In the store's list, this one included; 0 before it was read.
     Address controlAddress {};
 };
 
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -39,6 +39,7 @@
     void setCautiousFor(Milliseconds cautiousFor) { m_options.cautiousFor = cautiousFor; }
     // How many nodes there are, as far as anybody knows, this one included.
     void setExpectedNodes(unsigned nodes) { m_options.expectedNodes = nodes; }
+    unsigned expectedNodes() const { return m_options.expectedNodes; }
     // This node's own totals, for the peers.
     const std::map<std::string, double>& ownTotals() const { return m_ownTotals; }
 
