Learn an engine's fixed time and rate apart; need from streams in slots and the last ten seconds, not a held peak

The test of falling demand now begins its fall when the floor of the start has gone, and still asks for ten seconds without a change.

--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -8,7 +8,6 @@
 namespace {
 
     constexpr Milliseconds markSpreadTime { 5000 }; // Twice what a row needs to reach a node of another zone in a fleet of a hundred.
-    constexpr double learningPart = 0.05; // Of each observation in a learnt rate: some twenty requests renew it.
     constexpr double reservedMemoryPart = 0.75; // Of an engine's memory that prefixes may keep; running requests take the rest.
 
     std::uint64_t hashText(const std::string& text) { return mixHash(std::hash<std::string> {}(text), 0); }
@@ -126,13 +125,11 @@
     }
 }
 
-void EndpointBook::observePrefill(double tokens, double seconds)
+void EndpointBook::observeFirstEvent(double uncachedTokens, double seconds)
 {
-    // Fewer say more about the steps and the network than about the rate: some ten milliseconds against a prompt's time.
-    constexpr double minimumTokens = 3000;
-    if (tokens < minimumTokens || seconds <= 0)
-        return;
-    m_options.prefillTokensPerSecond += learningPart * (tokens / seconds - m_options.prefillTokensPerSecond);
+    m_firstEvents.observe(uncachedTokens, seconds);
+    m_options.fixedSeconds = m_firstEvents.fixedSeconds();
+    m_options.secondsPerToken = m_firstEvents.secondsPerToken();
 }
 
 EndpointBook::Flight::Flight(std::shared_ptr<EndpointState> endpoint, double waitingTokens)
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -4,6 +4,7 @@
 #include "core/net/async_connection.h"
 #include "modules/balance/endpoint_choice.h"
 #include "modules/balance/endpoint_health.h"
+#include "modules/balance/first_event_model.h"
 #include "modules/balance/prefix_cache.h"
 #include "modules/traffic/traffic_view.h"
 #include <deque>
@@ -92,9 +93,10 @@
     // Sums over all other nodes, by endpoint.
     void setPeerLoads(const std::map<std::string, EndpointLoadReport>&);
 
-    // Learnt rates.
-    void observePrefill(double tokens, double seconds);
-    const ChoiceOptions& choiceOptions() const { return m_options; }
+    // A request that found nothing waiting had its first event after `seconds`.
+    void observeFirstEvent(double uncachedTokens, double seconds);
+    // How long an engine reads a prompt, as learnt.
+    double prefillSeconds(double uncachedTokens) const { return uncachedTokens * m_firstEvents.secondsPerToken(); }
 
 private:
     double memoryTokens(const std::string& service) const;
@@ -106,6 +108,7 @@
     std::map<std::string, std::vector<std::shared_ptr<EndpointState>>> m_ofService {};
     std::map<std::string, double> m_memoryTokens {}; // By service.
     std::map<std::string, SteadyTime> m_leaving {}; // Since when it is known, by id. Never taken back.
+    FirstEventModel m_firstEvents {};
     ChoiceOptions m_options {};
 };
 
--- a/modules/balance/endpoint_choice.cpp
+++ b/modules/balance/endpoint_choice.cpp
@@ -7,7 +7,7 @@
 double expectedSeconds(const ChoiceCandidate& candidate, const ChoiceRequest& request, const ChoiceOptions& options)
 {
     auto uncached = std::max(0.0, request.promptTokens - candidate.keptTokens);
-    auto prefill = (candidate.waitingTokens + uncached) / options.prefillTokensPerSecond;
+    auto prefill = request.promptTokens > 0 ? options.fixedSeconds + (candidate.waitingTokens + uncached) * options.secondsPerToken : 0;
     auto batch = candidate.inFlight * options.stepSeconds;
     // Where all slots are taken, one comes free after a part of a usual request.
     auto slots = static_cast<double>(std::max(1U, candidate.slots));
--- a/modules/balance/endpoint_choice.h
+++ b/modules/balance/endpoint_choice.h
@@ -29,8 +29,9 @@
 };
 
 struct ChoiceOptions {
-    // Of one engine, as learnt. The first value is what an eight-accelerator engine of the users' sheets does, less its steps.
-    double prefillTokensPerSecond { 40000 };
+    // Of one engine, as learnt (FirstEventModel).
+    double fixedSeconds { 0.02 }; // To a first event, however short the prompt.
+    double secondsPerToken { 1.0 / 40000 }; // Of the prompt.
     double requestSeconds { 0.02 }; // How long a usual request holds a slot, as learnt.
     double stepSeconds { 0.0005 }; // By which each running stream delays the others' first token.
     double otherZoneSeconds { 0.0005 }; // What another availability zone costs: delay and priced bytes.
--- a/modules/duty/endpoint_scaler.cpp
+++ b/modules/duty/endpoint_scaler.cpp
@@ -32,6 +32,7 @@
         auto zone = state.zones.find(endpoint.zone);
         if (endpoint.service != service.name || zone == state.zones.end())
             continue;
+        state.slots = std::max(1U, endpoint.slots);
         if (!endpoint.leaving) {
             ++(endpoint.reclaimable ? zone->second.reclaimable : zone->second.lasting);
             continue;
@@ -50,33 +51,40 @@
     std::erase_if(m_leavingSeen, [&](const auto& it) { return !list.endpoints.contains(it.first); });
 }
 
-void EndpointScaler::updateNeeded(const ServiceDemand& demand, ServiceState& state, SteadyTime now)
+// The list fills as endpoints register; what was there before us tells how much is usual. Where an earlier holder of the duty has
+// ordered, the lasting ones stand in for others, and the reclaimable ones have some to spare.
+void EndpointScaler::updateFloor(const ServiceDemand& demand, ServiceState& state, SteadyTime now)
 {
-    auto byPrefill = demand.busyEngines / m_options.prefillPart;
-    auto byStreams = demand.running / m_options.runningPerEndpoint;
-    auto needed = static_cast<unsigned>(std::ceil(std::max({ byPrefill, byStreams, 1.0 })));
     bool first = state.needed == 0;
+    bool sawDemand = state.demandSeen;
     state.demandSeen = state.demandSeen || demand.requestsPerSecond > 1;
-    if (first || !state.demandSeen) {
-        // The list fills as endpoints register; what was there before us tells how much is usual. Where an earlier holder of the duty
-        // has ordered, the lasting ones stand in for others, and the reclaimable ones have some to spare.
-        unsigned lasting = 0;
-        unsigned reclaimable = 0;
-        for (const auto& [name, zone] : state.zones) {
-            lasting += zone.lasting;
-            reclaimable += zone.reclaimable;
-        }
-        bool takenOver = first && (reclaimable > 0 || state.demandSeen);
-        auto found = takenOver ? lasting + reclaimable / m_options.reclaimableSpare : lasting * m_options.initialPart;
-        needed = std::max(needed, static_cast<unsigned>(std::ceil(found)));
-    }
-    if (needed >= state.needed) {
-        state.needed = needed;
-        state.lowerSince = now;
-    } else if (now - state.lowerSince >= m_options.lowerAfter) {
-        --state.needed;
-        state.lowerSince = now - m_options.lowerAfter / 3;
+    if (sawDemand && !first)
+        return;
+    unsigned lasting = 0;
+    unsigned reclaimable = 0;
+    for (const auto& [name, zone] : state.zones) {
+        lasting += zone.lasting;
+        reclaimable += zone.reclaimable;
     }
+    bool takenOver = first && (reclaimable > 0 || state.demandSeen);
+    auto found = takenOver ? lasting + reclaimable / m_options.reclaimableSpare : lasting * m_options.initialPart;
+    state.floor = std::max(state.floor, static_cast<unsigned>(std::ceil(found)));
+    state.floorUntil = now + m_options.lowerAfter;
+}
+
+void EndpointScaler::updateNeeded(const ServiceDemand& demand, ServiceState& state, SteadyTime now)
+{
+    updateFloor(demand, state, now);
+    auto byPrefill = demand.busyEngines / m_options.prefillPart;
+    auto byStreams = demand.running / (state.slots * m_options.slotsPart);
+    auto needed = static_cast<unsigned>(std::ceil(std::max({ byPrefill, byStreams, 1.0 })));
+    auto& recent = state.recentNeeds;
+    while (!recent.empty() && recent.back().endpoints <= needed)
+        recent.pop_back();
+    recent.push_back({ .at = now, .endpoints = needed });
+    while (now - recent.front().at > m_options.lowerAfter)
+        recent.pop_front();
+    state.needed = std::max(recent.front().endpoints, now < state.floorUntil ? state.floor : 0);
 }
 
 void EndpointScaler::planReclaimable(const ScalingBounds& bounds, ServiceState& state, SteadyTime now)
--- a/modules/duty/endpoint_scaler.h
+++ b/modules/duty/endpoint_scaler.h
@@ -10,17 +10,20 @@
 #include "modules/peers/peer_row.h"
 #include "modules/traffic/endpoint_list.h"
 #include "modules/traffic/traffic_configuration.h"
+#include <deque>
 
 namespace Onyxnotch {
 
 struct EndpointScalerOptions {
     double prefillPart { 0.45 }; // Of an engine's time that prefill may take, so that a long prompt still begins in time.
-    double runningPerEndpoint { 30 }; // Streams at once, at which each is still fast.
+    double slotsPart { 0.6 }; // Of an endpoint's slots that streams may hold on average: arrivals come in bursts.
     // Reclaimable endpoints as a multiple of those needed. Two cost less than lasting ones that stand in for a lost zone: at 0.15 of the
     // price, eight zones' worth more of them cost as much as one that stands in for a zone.
     double reclaimableSpare { 2 };
     double initialPart { 0.5 }; // Of the endpoints found at the start, until demand is known.
-    Milliseconds lowerAfter { 15000 }; // Demand must have been lower for this long: a start takes seconds, and drops prefixes.
+    // The most that was needed in this time is needed still. An endpoint given back sooner would cost its start, some seconds of its
+    // price, and its prefixes.
+    Milliseconds lowerAfter { 10000 };
     Milliseconds refusedFor { 4000 }; // A zone that had none to give is asked again after this.
     Milliseconds reclaimedFor { 8000 }; // A zone that is being reclaimed is not asked for this long.
     // No refusal and no reclaim must have been seen for this long before what stood in for it is given back: longer than a zone is left
@@ -49,9 +52,17 @@
         unsigned lastingOrdered { 0 };
     };
 
+    struct Need {
+        SteadyTime at {};
+        unsigned endpoints { 0 };
+    };
+
     struct ServiceState {
         unsigned needed { 0 };
-        SteadyTime lowerSince {};
+        std::deque<Need> recentNeeds {}; // Falling: the first is the most.
+        unsigned slots { 1 }; // Of one endpoint.
+        unsigned floor { 0 }; // Needed in any case, as found at the start,
+        SteadyTime floorUntil {}; // until demand has been seen for a while.
         SteadyTime shortageSeenAt {};
         bool demandSeen { false };
         bool lastingPlanned { false }; // Before that, those that are there count as ordered.
@@ -64,6 +75,7 @@
     };
 
     void readList(const TrafficService&, const EndpointList&, ServiceState&, SteadyTime now);
+    void updateFloor(const ServiceDemand&, ServiceState&, SteadyTime now);
     void updateNeeded(const ServiceDemand&, ServiceState&, SteadyTime now);
     void planReclaimable(const ScalingBounds&, ServiceState&, SteadyTime now);
     void planLasting(const ScalingBounds&, ServiceState&, SteadyTime now);
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -226,6 +226,7 @@
             for (const auto& [service, demand] : row->demand) {
                 auto& sum = result.demand[service];
                 sum.requestsPerSecond += demand.requestsPerSecond;
+                sum.waiting += demand.waiting;
                 sum.running += demand.running;
                 sum.busyEngines += demand.busyEngines;
                 sum.refusedPerSecond += demand.refusedPerSecond;
--- a/modules/forward/demand_meter.h
+++ b/modules/forward/demand_meter.h
@@ -15,8 +15,18 @@
         it.prefillSeconds += prefillSeconds;
     }
     void onRefused(const std::string& service) { ++m_counts[service].refused; }
-    void onBegin(const std::string& service) { ++m_counts[service].running; }
-    void onEnd(const std::string& service) { --m_counts[service].running; }
+    void onBegin(const std::string& service) { ++m_counts[service].waiting; }
+    void onFirstEvent(const std::string& service)
+    {
+        auto& it = m_counts[service];
+        --it.waiting;
+        ++it.running;
+    }
+    void onEnd(const std::string& service, bool hadFirstEvent)
+    {
+        auto& it = m_counts[service];
+        --(hadFirstEvent ? it.running : it.waiting);
+    }
 
     // Call at a steady period.
     void tick(double seconds)
@@ -27,6 +37,7 @@
             demand.requestsPerSecond += part * (counts.requests / seconds - demand.requestsPerSecond);
             demand.busyEngines += part * (counts.prefillSeconds / seconds - demand.busyEngines);
             demand.refusedPerSecond += part * (counts.refused / seconds - demand.refusedPerSecond);
+            demand.waiting += part * (counts.waiting - demand.waiting);
             demand.running += part * (counts.running - demand.running);
             counts.requests = 0;
             counts.prefillSeconds = 0;
@@ -43,6 +54,7 @@
         double requests { 0 };
         double prefillSeconds { 0 };
         double refused { 0 };
+        double waiting { 0 };
         double running { 0 };
     };
 
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -119,7 +119,7 @@
     });
     auto end = co_await tryEndpoints();
     m_caller->unwatch();
-    m_context.demand.onEnd(m_service->name);
+    m_context.demand.onEnd(m_service->name, m_firstEventMilliseconds >= 0);
     co_return m_callerLeft ? ExchangeEnd::Close : end;
 }
 
@@ -140,7 +140,7 @@
         if (!chosen)
             co_return co_await giveUp(TryEnd::NotSent);
         if (first)
-            m_context.demand.onRequest(m_service->name, chosen->uncachedTokens / m_context.endpoints.choiceOptions().prefillTokensPerSecond);
+            m_context.demand.onRequest(m_service->name, m_context.endpoints.prefillSeconds(chosen->uncachedTokens));
         first = false;
         auto end = co_await tryEndpoint(*chosen);
         m_fate.onEnd(end);
@@ -275,11 +275,13 @@
 void Exchange::noteFirstEvent(const ChosenEndpoint& chosen)
 {
     auto seconds = std::chrono::duration<double>(steadyNow() - m_sentAt).count();
+    if (m_firstEventMilliseconds < 0)
+        m_context.demand.onFirstEvent(m_service->name);
     m_firstEventMilliseconds = toMilliseconds(steadyNow() - m_request.arrivedAt).count();
     m_flight->prefilled();
-    // Only a request that found nothing waiting tells how fast a prompt is read.
-    if (chosen.endpoint->waitingTokens == 0 && chosen.endpoint->peersWaitingTokens == 0)
-        m_context.endpoints.observePrefill(chosen.uncachedTokens, seconds);
+    // Only a request that found nothing waiting, and that nothing came beside, tells how fast a prompt is read.
+    if (m_waitingTokens == 0 && chosen.endpoint->waitingTokens == 0 && chosen.endpoint->peersWaitingTokens == 0)
+        m_context.endpoints.observeFirstEvent(chosen.uncachedTokens, seconds);
 }
 
 // A try that did not deliver: what the next decision follows from.
--- a/modules/peers/peer_row.h
+++ b/modules/peers/peer_row.h
@@ -14,7 +14,8 @@
 // What is asked of a service at one node, averaged over some seconds.
 struct ServiceDemand {
     double requestsPerSecond { 0 }; // Asked for, refused ones included.
-    double running { 0 }; // In flight.
+    double waiting { 0 }; // In flight, without a first event so far.
+    double running { 0 }; // In flight, from the first event on.
     // Engines' time for prompts, without the parts that were expected to be cached, at the rate that this node has learnt: how many
     // engines would do nothing else.
     double busyEngines { 0 };
@@ -23,7 +24,7 @@
     bool operator==(const ServiceDemand&) const = default;
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(requestsPerSecond, running, busyEngines, refusedPerSecond); }
+    void serialize(Archive& archive) { archive(requestsPerSecond, waiting, running, busyEngines, refusedPerSecond); }
 };
 
 struct PeerRow {
