Order spare and stand-in endpoints by expected loss against price; hand the duties over at once

Change: ReclaimOutlook learns the chance that a zone is reclaimed, calm and in a wave; the spare is raised while the expected loss falls by more than it costs, stand-ins are ordered only while none are to be had, as many as are likely to be missing. Endpoints that we gave back are no reclaim. Candidates for the duties must reach the store, and a node says the fence that it gave up. Ruled out: the learnt rate (3.5 to 6 engines' time, true when caches are cold), the boot time. Left: the first seconds with cold caches.

--- a/modules/control/node_summary.h
+++ b/modules/control/node_summary.h
@@ -13,6 +13,7 @@
     SteadyTime madeAt {};
     unsigned alivePeers { 0 };
     bool peerHoldsDuties { false };
+    std::map<std::string, std::uint64_t> leftDutiesFences {}; // Of peers that held the duties, and say that they do no more.
     bool firstCandidate { true }; // No node that is alive and not leaving comes before this one.
     bool watchesStore { true }; // This node should follow the store itself.
     std::uint64_t peerEndpointsRevision { 0 }; // The highest of a peer that watches the store.
--- a/modules/duty/duty_runner.cpp
+++ b/modules/duty/duty_runner.cpp
@@ -11,6 +11,15 @@
 
     const std::string leaseName = "duties";
 
+    void writeDecision(const ScaleDecision& decision)
+    {
+        auto thousandths = [](double it) { return static_cast<long>(it * 1000); };
+        logEvent(LogLevel::Info, "endpoints_wanted",
+            { { "service", decision.service }, { "needed", decision.needed }, { "floor", decision.floor }, { "busy_engines_thousandths", thousandths(decision.busyEngines) },
+                { "running", static_cast<long>(decision.running) }, { "reclaim_chance_thousandths", thousandths(decision.chanceOfReclaim) }, { "dry", decision.dry ? 1 : 0 },
+                { "reclaimable", decision.reclaimableOrdered }, { "lasting", decision.lastingOrdered } });
+    }
+
     nlohmann::json leaseValue(const LeaseRecord& record) { return nlohmann::json::parse(leaseToJson(record)); }
 
     // The summary's clock, carried on to now.
@@ -44,6 +53,8 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
         co_await step();
     }
+    if (m_heldAt != SteadyTime {})
+        m_leftFence = m_lease.fence();
 }
 
 asio::awaitable<void> DutyRunner::step()
@@ -52,11 +63,8 @@
     if (m_stopped || steadyNow() - m_startedAt < m_options.startDelay)
         co_return;
     co_await keepLease(*summary);
-    bool held = m_lease.holds(steadyNow());
-    if (held != m_holds.load())
-        logEvent(LogLevel::Info, held ? "duties_taken" : "duties_lost", { { "fence", m_lease.fence() } });
-    m_holds = held;
-    if (!held) {
+    noteHolding();
+    if (!m_holds) {
         m_adopted = false;
         co_return;
     }
@@ -74,6 +82,27 @@
         co_await orderEndpoints(*summary);
 }
 
+// No call is open here: a step has ended before the next one begins.
+void DutyRunner::noteHolding()
+{
+    bool held = m_lease.holds(steadyNow());
+    if (held)
+        m_heldAt = steadyNow();
+    if (held == m_holds.load())
+        return;
+    logEvent(LogLevel::Info, held ? "duties_taken" : "duties_lost", { { "fence", m_lease.fence() } });
+    if (!held)
+        m_leftFence = m_lease.fence();
+    m_holds = held;
+}
+
+// This node's own orders, also those of an earlier life, lie more than a lease back.
+bool DutyRunner::mayTakeAtOnce() const
+{
+    auto apart = m_options.lease.duration * 2;
+    return steadyNow() - m_startedAt >= apart && (m_heldAt == SteadyTime {} || steadyNow() - m_heldAt >= apart);
+}
+
 asio::awaitable<void> DutyRunner::keepLease(const NodeSummary& summary)
 {
     auto now = steadyNow();
@@ -104,6 +133,9 @@
             revision = read.value()->revision;
         }
         m_lease.observe(record, revision, sentAt, steadyNow());
+        auto left = record ? summary.leftDutiesFences.find(record->holder) : summary.leftDutiesFences.end();
+        if (left != summary.leftDutiesFences.end() && mayTakeAtOnce())
+            m_lease.holderGaveUp(left->first, left->second);
     }
     if (auto write = m_lease.next(steadyNow()))
         co_await writeLease(*write);
@@ -167,7 +199,10 @@
     auto endpoints = m_view.endpoints();
     if (!configuration || !endpoints)
         co_return;
-    for (const auto& order : m_scaler.orders(*configuration, *endpoints, summary.demand, steadyNow())) {
+    auto orders = m_scaler.orders(*configuration, *endpoints, summary.demand, steadyNow());
+    for (const auto& it : m_scaler.takeDecisions())
+        writeDecision(it);
+    for (const auto& order : orders) {
         if (!mayCall())
             co_return;
         auto as = authority();
--- a/modules/duty/duty_runner.h
+++ b/modules/duty/duty_runner.h
@@ -31,8 +31,10 @@
     // Runs until the process ends.
     asio::awaitable<void> run();
     bool holds() const { return m_holds.load(); }
-    // No more duties. The lease runs out by itself: a holder that comes after this one begins only when a full lease has passed, so
-    // that no node's orders can alternate with another's within one.
+    // The last fence under which this node held the duties; set once it holds them no more and has no call open.
+    std::uint64_t leftFence() const { return m_leftFence.load(); }
+    // No more duties. The lease runs out, or a node takes it that has not held it within the time of a lease, so that no node's orders
+    // can alternate with another's within one.
     void stop()
     {
         m_stopped = true;
@@ -45,6 +47,8 @@
     asio::awaitable<void> writeLease(const LeaseWrite&);
     asio::awaitable<void> reportUsage(const NodeSummary&);
     asio::awaitable<void> orderEndpoints(const NodeSummary&);
+    void noteHolding();
+    bool mayTakeAtOnce() const;
     bool mayCall() const;
     DutyAuthority authority() const { return { .holder = m_options.node, .fence = m_lease.fence() }; }
 
@@ -58,10 +62,12 @@
     UsageReports m_reports;
     EndpointScaler m_scaler;
     SteadyTime m_startedAt;
+    SteadyTime m_heldAt {}; // When this node last held the duties.
     SteadyTime m_vacantSince {}; // Since when no live node is known to hold the duties.
     bool m_adopted { false }; // What stands in the lease has been read since it came to this node.
     bool m_stopped { false };
     std::atomic<bool> m_holds { false };
+    std::atomic<std::uint64_t> m_leftFence { 0 };
 };
 
 } // namespace Onyxnotch
--- a/modules/duty/endpoint_scaler.cpp
+++ b/modules/duty/endpoint_scaler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace Onyxnotch {
 
@@ -13,8 +14,6 @@
         return order;
     }
 
-    unsigned ceilDivide(unsigned left, unsigned right) { return (left + right - 1) / right; }
-
 } // namespace
 
 EndpointScaler::EndpointScaler(const EndpointScalerOptions& options)
@@ -28,6 +27,7 @@
         state.zones[zone].reclaimable = 0;
         state.zones[zone].lasting = 0;
     }
+    std::map<std::string, unsigned> newlyLeaving;
     for (const auto& [id, endpoint] : list.endpoints) {
         auto zone = state.zones.find(endpoint.zone);
         if (endpoint.service != service.name || zone == state.zones.end())
@@ -37,13 +37,21 @@
             ++(endpoint.reclaimable ? zone->second.reclaimable : zone->second.lasting);
             continue;
         }
-        // One that leaves although it was ordered is being taken away.
-        bool news = endpoint.reclaimable && m_leavingSeen.emplace(id, now).second;
-        if (news && zone->second.reclaimableOrdered > 0) {
-            zone->second.closedUntil = std::max(zone->second.closedUntil, now + m_options.reclaimedFor);
-            state.shortageSeenAt = now;
-        }
+        if (endpoint.reclaimable && m_leavingSeen.emplace(id, now).second)
+            ++newlyLeaving[endpoint.zone];
+    }
+    noteLeaving(newlyLeaving, state, now);
+    unsigned listed = 0;
+    unsigned zonesHeld = 0;
+    for (const auto& [name, zone] : state.zones) {
+        listed += zone.lasting + zone.reclaimable;
+        zonesHeld += zone.reclaimable > 0 ? 1 : 0;
+    }
+    if (listed > state.mostListed) {
+        state.mostListed = listed;
+        state.listGrewAt = now;
     }
+    state.outlook.advance(zonesHeld, now);
     for (auto& [name, zone] : state.zones) {
         if (!state.lastingPlanned)
             zone.lastingOrdered = zone.lasting;
@@ -51,6 +59,21 @@
     std::erase_if(m_leavingSeen, [&](const auto& it) { return !list.endpoints.contains(it.first); });
 }
 
+// A zone is being reclaimed where most of it leaves although it was ordered. Single ones are replaced or taken out by operators.
+void EndpointScaler::noteLeaving(const std::map<std::string, unsigned>& leavingByZone, ServiceState& state, SteadyTime now)
+{
+    for (const auto& [name, leaving] : leavingByZone) {
+        auto& zone = state.zones[name];
+        auto ours = std::min(zone.givenBack, leaving);
+        zone.givenBack -= ours;
+        auto taken = leaving - ours;
+        if (taken == 0 || zone.reclaimable > taken)
+            continue;
+        state.outlook.onReclaim(now);
+        zone.closedUntil = std::max(zone.closedUntil, now + m_options.reclaimedFor);
+    }
+}
+
 // The list fills as endpoints register; what was there before us tells how much is usual. Where an earlier holder of the duty has
 // ordered, the lasting ones stand in for others, and the reclaimable ones have some to spare.
 void EndpointScaler::updateFloor(const ServiceDemand& demand, ServiceState& state, SteadyTime now)
@@ -67,7 +90,12 @@
         reclaimable += zone.reclaimable;
     }
     bool takenOver = first && (reclaimable > 0 || state.demandSeen);
-    auto found = takenOver ? lasting + reclaimable / m_options.reclaimableSpare : lasting * m_options.initialPart;
+    // Where some stand in for others, none were to be had, as far as a new holder knows.
+    if (takenOver && lasting > 0 && reclaimable > 0)
+        noteRefusal(state, now);
+    // About one zone's worth of the reclaimable ones is there to spare.
+    auto zones = static_cast<double>(std::max<std::size_t>(2, state.zones.size()));
+    auto found = takenOver ? lasting + reclaimable * (zones - 1) / zones : lasting * m_options.initialPart;
     state.floor = std::max(state.floor, static_cast<unsigned>(std::ceil(found)));
     state.floorUntil = now + m_options.lowerAfter;
 }
@@ -78,53 +106,75 @@
     auto byPrefill = demand.busyEngines / m_options.prefillPart;
     auto byStreams = demand.running / (state.slots * m_options.slotsPart);
     auto needed = static_cast<unsigned>(std::ceil(std::max({ byPrefill, byStreams, 1.0 })));
-    auto& recent = state.recentNeeds;
-    while (!recent.empty() && recent.back().endpoints <= needed)
-        recent.pop_back();
-    recent.push_back({ .at = now, .endpoints = needed });
-    while (now - recent.front().at > m_options.lowerAfter)
-        recent.pop_front();
-    state.needed = std::max(recent.front().endpoints, now < state.floorUntil ? state.floor : 0);
+    state.needed = std::max(state.recentNeeds.take(needed, now, m_options.lowerAfter), now < state.floorUntil ? state.floor : 0);
+}
+
+bool EndpointScaler::isDry(const ServiceState& state, SteadyTime now) const
+{
+    return state.refusedAt != SteadyTime {} && now - state.refusedAt < m_options.dryFor;
+}
+
+// More in each zone as long as the loss that they prevent is dearer than they are.
+unsigned EndpointScaler::reclaimablePerZone(const ScalingBounds& bounds, const ServiceState& state, SteadyTime now) const
+{
+    auto chance = state.outlook.chanceWithin(std::chrono::duration<double>(bounds.bootTime).count(), now);
+    double stepPrice = 0;
+    for (const auto& [name, zone] : state.zones)
+        stepPrice += now >= zone.closedUntil ? bounds.zonePrices.at(name) * bounds.reclaimablePrice : 0;
+    auto loss = [&](unsigned perZone) {
+        std::vector<EndpointGroup> groups;
+        for (const auto& [name, zone] : state.zones)
+            groups.push_back({ .endpoints = now >= zone.closedUntil ? perZone : zone.reclaimable, .chanceOfLoss = chance });
+        auto chances = shortfallChances(state.needed, groups);
+        return m_options.workValue * std::accumulate(chances.begin(), chances.end(), 0.0);
+    };
+    auto least = std::max(1U, bounds.minimum);
+    auto perZone = least;
+    while (perZone < bounds.maximum && loss(perZone) - loss(perZone + 1) > stepPrice)
+        ++perZone;
+    return perZone;
 }
 
 void EndpointScaler::planReclaimable(const ScalingBounds& bounds, ServiceState& state, SteadyTime now)
 {
-    unsigned open = 0;
-    unsigned closedCount = 0;
-    for (const auto& [name, zone] : state.zones) {
-        if (now >= zone.closedUntil)
-            ++open;
-        else
-            closedCount += zone.reclaimable;
-    }
-    auto zones = static_cast<unsigned>(state.zones.size());
-    // At least one zone's worth more than needed.
-    auto total = std::max(zones > 1 ? ceilDivide(state.needed * zones, zones - 1) : state.needed,
-        static_cast<unsigned>(std::ceil(state.needed * m_options.reclaimableSpare)));
-    auto perZone = open > 0 ? ceilDivide(total - std::min(total, closedCount), open) : 0;
-    // No zone may hold so much that the others could not stand in for it.
-    perZone = std::min(perZone, ceilDivide(total, std::max(1U, zones / 2)));
+    auto perZone = state.recentPerZone.take(reclaimablePerZone(bounds, state, now), now, m_options.lowerAfter / 2);
     for (auto& [name, zone] : state.zones) {
         if (now >= zone.closedUntil)
-            zone.reclaimableOrdered = std::clamp(perZone, std::max(1U, bounds.minimum), bounds.maximum);
+            zone.reclaimableOrdered = perZone;
     }
 }
 
-void EndpointScaler::planLasting(const ScalingBounds& bounds, ServiceState& state, SteadyTime now)
+// While none are to be had, as many as the loss of further zones makes likely to be missing. Else only those that stand already stay,
+// until what was ordered in their place is there: a new one would not come sooner than a reclaimable one.
+unsigned EndpointScaler::wantedLasting(const ScalingBounds& bounds, const ServiceState& state, SteadyTime now) const
 {
     unsigned reclaimable = 0;
-    unsigned largest = 0;
-    unsigned ordered = 0;
+    unsigned coming = 0;
+    unsigned standing = 0;
+    std::vector<EndpointGroup> groups;
+    auto chance = state.outlook.chanceWithin(std::chrono::duration<double>(bounds.bootTime).count(), now);
     for (const auto& [name, zone] : state.zones) {
         reclaimable += zone.reclaimable;
-        largest = std::max(largest, zone.reclaimable);
-        ordered += zone.lastingOrdered;
+        standing += zone.lastingOrdered;
+        if (now - zone.reclaimableOrderedAt < bounds.bootTime + m_options.bootMargin)
+            coming += zone.reclaimableOrdered - std::min(zone.reclaimableOrdered, zone.reclaimable);
+        groups.push_back({ .endpoints = zone.reclaimable, .chanceOfLoss = chance });
     }
-    bool inShortage = state.shortageSeenAt != SteadyTime {} && now - state.shortageSeenAt < m_options.settledAfter;
-    // In a shortage the next zone may go as well, and nothing is given back.
-    auto counted = inShortage ? reclaimable - largest : reclaimable;
-    auto wanted = state.needed - std::min(state.needed, counted);
-    wanted = inShortage ? std::max(wanted, ordered) : std::min(wanted, ordered);
+    auto missing = state.needed - std::min(state.needed, reclaimable);
+    if (!isDry(state, now))
+        return std::max(missing - std::min(missing, coming), std::min(standing, missing));
+    auto price = std::min_element(bounds.zonePrices.begin(), bounds.zonePrices.end(), [](const auto& left, const auto& right) { return left.second < right.second; })->second;
+    auto chances = shortfallChances(state.needed, groups);
+    auto pays = std::count_if(chances.begin(), chances.end(), [&](double it) { return it * m_options.workValue > price; });
+    return std::max(missing, static_cast<unsigned>(pays));
+}
+
+void EndpointScaler::planLasting(const ScalingBounds& bounds, ServiceState& state, SteadyTime now)
+{
+    unsigned ordered = 0;
+    for (const auto& [name, zone] : state.zones)
+        ordered += zone.lastingOrdered;
+    auto wanted = wantedLasting(bounds, state, now);
     std::vector<std::pair<double, std::string>> byPrice;
     for (const auto& [name, price] : bounds.zonePrices)
         byPrice.emplace_back(price, name);
@@ -161,34 +211,75 @@
     for (const auto& service : configuration.declaration().services) {
         if (!service.scaling || service.scaling->zonePrices.empty())
             continue;
-        auto& state = m_services[service.name];
+        auto [known, isNew] = m_services.try_emplace(service.name);
+        auto& state = known->second;
+        if (isNew) {
+            state.outlook = ReclaimOutlook(m_options.outlook);
+            state.listGrewAt = now;
+        }
         auto found = demand.find(service.name);
         readList(service, list, state, now);
         updateNeeded(found == demand.end() ? ServiceDemand {} : found->second, state, now);
         bool hasReclaimable = service.scaling->reclaimablePrice < 1;
         if (hasReclaimable)
             planReclaimable(*service.scaling, state, now);
-        unsigned reclaimable = 0;
         for (const auto& [name, zone] : state.zones) {
-            reclaimable += zone.reclaimable;
             if (hasReclaimable && now >= zone.closedUntil)
                 add({ .service = service.name, .zone = name, .reclaimable = true, .endpoints = zone.reclaimableOrdered }, now, orders);
         }
-        // What was there at the start stays until something stands in for it.
-        bool started = state.demandSeen || reclaimable >= state.needed;
-        if (!started)
-            continue;
-        state.lastingPlanned = true;
-        planLasting(*service.scaling, state, now);
-        for (const auto& [name, zone] : state.zones) {
-            if (zone.lastingOrdered != zone.lasting)
-                add({ .service = service.name, .zone = name, .reclaimable = false, .endpoints = zone.lastingOrdered }, now, orders);
+        if (now - state.listGrewAt >= m_options.listSettles || state.demandSeen) {
+            state.lastingPlanned = true;
+            planLasting(*service.scaling, state, now);
+            for (const auto& [name, zone] : state.zones) {
+                if (zone.lastingOrdered != zone.lasting)
+                    add({ .service = service.name, .zone = name, .reclaimable = false, .endpoints = zone.lastingOrdered }, now, orders);
+            }
         }
+        noteDecision(service.name, found == demand.end() ? ServiceDemand {} : found->second, state, now);
     }
     return orders;
 }
 
-void EndpointScaler::ordered(const ScaleOrder& order, SteadyTime now) { m_given[subjectOf(order)] = { .endpoints = order.endpoints, .at = now }; }
+void EndpointScaler::noteDecision(const std::string& service, const ServiceDemand& demand, const ServiceState& state, SteadyTime now)
+{
+    ScaleDecision decision {
+        .service = service,
+        .needed = state.needed,
+        .floor = now < state.floorUntil ? state.floor : 0,
+        .busyEngines = demand.busyEngines,
+        .running = demand.running,
+        .chanceOfReclaim = state.outlook.chanceWithin(1, now),
+        .dry = isDry(state, now),
+    };
+    for (const auto& [name, zone] : state.zones) {
+        decision.reclaimableOrdered += zone.reclaimableOrdered;
+        decision.lastingOrdered += zone.lastingOrdered;
+    }
+    auto& last = m_decisions[service];
+    if (decision.sameOutcome(last))
+        return;
+    last = decision;
+    m_newDecisions.push_back(std::move(decision));
+}
+
+std::vector<ScaleDecision> EndpointScaler::takeDecisions() { return std::exchange(m_newDecisions, {}); }
+
+void EndpointScaler::ordered(const ScaleOrder& order, SteadyTime now)
+{
+    m_given[subjectOf(order)] = { .endpoints = order.endpoints, .at = now };
+    auto& zone = m_services[order.service].zones[order.zone];
+    if (!order.reclaimable)
+        return;
+    if (order.endpoints > zone.reclaimable)
+        zone.reclaimableOrderedAt = now;
+    zone.givenBack = zone.reclaimable - std::min(zone.reclaimable, order.endpoints);
+}
+
+void EndpointScaler::noteRefusal(ServiceState& state, SteadyTime now)
+{
+    state.refusedAt = now;
+    state.outlook.onRefusal(now);
+}
 
 void EndpointScaler::refused(const ScaleOrder& order, SteadyTime now)
 {
@@ -196,7 +287,7 @@
         return;
     auto& state = m_services[order.service];
     state.zones[order.zone].closedUntil = now + m_options.refusedFor;
-    state.shortageSeenAt = now;
+    noteRefusal(state, now);
 }
 
 } // namespace Onyxnotch
--- a/modules/duty/endpoint_scaler.h
+++ b/modules/duty/endpoint_scaler.h
@@ -1,12 +1,13 @@
 // How many endpoints each availability zone should hold, of which kind: a pure state machine over demand, prices and what is to be had.
 //
 // Reclaimable endpoints are much cheaper, and all of a zone may go at once; then there may be none to be had anywhere for a while. So
-// they are spread over the zones, one zone's worth more than needed, and endpoints that cannot be taken away stand in for them only
-// while there is a shortage.
+// they are spread over the zones, with as many to spare as the expected loss is dearer than they are, and endpoints that cannot be taken
+// away stand in for them only while none are to be had.
 #pragma once
 
 #include "core/clock.h"
 #include "modules/control/object_store.h"
+#include "modules/duty/reclaim_outlook.h"
 #include "modules/peers/peer_row.h"
 #include "modules/traffic/endpoint_list.h"
 #include "modules/traffic/traffic_configuration.h"
@@ -17,19 +18,63 @@
 struct EndpointScalerOptions {
     double prefillPart { 0.45 }; // Of an engine's time that prefill may take, so that a long prompt still begins in time.
     double slotsPart { 0.6 }; // Of an endpoint's slots that streams may hold on average: arrivals come in bursts.
-    // Reclaimable endpoints as a multiple of those needed. Two cost less than lasting ones that stand in for a lost zone: at 0.15 of the
-    // price, eight zones' worth more of them cost as much as one that stands in for a zone.
-    double reclaimableSpare { 2 };
+    // What a missing endpoint loses, in units of the on-demand price of one for the same time: what it serves is worth some times what it
+    // costs, and a shortage counts more than its time. docs/DECISIONS.md tells the measurement.
+    double workValue { 8 };
     double initialPart { 0.5 }; // Of the endpoints found at the start, until demand is known.
     // The most that was needed in this time is needed still. An endpoint given back sooner would cost its start, some seconds of its
     // price, and its prefixes.
     Milliseconds lowerAfter { 10000 };
-    Milliseconds refusedFor { 4000 }; // A zone that had none to give is asked again after this.
+    Milliseconds refusedFor { 2000 }; // A zone that had none to give is asked again after this: each call has a price, a shortage a higher one.
     Milliseconds reclaimedFor { 8000 }; // A zone that is being reclaimed is not asked for this long.
-    // No refusal and no reclaim must have been seen for this long before what stood in for it is given back: longer than a zone is left
-    // alone after a refusal, so that it has been asked meanwhile.
-    Milliseconds settledAfter { 6000 };
+    // Since the last refusal, none are taken to be had anywhere: longer than a zone is left alone, so that it has been asked meanwhile.
+    Milliseconds dryFor { 3000 };
     Milliseconds repeatAfter { 10000 }; // An order that did not show is given again.
+    Milliseconds bootMargin { 2000 }; // Beyond the boot time, in which what was ordered may still come.
+    Milliseconds listSettles { 1500 }; // Endpoints register within about a second; before that the list is no reason to give any back.
+    ReclaimOutlookOptions outlook {};
+};
+
+// How many endpoints of a service are wanted, and why.
+struct ScaleDecision {
+    std::string service {};
+    unsigned needed { 0 };
+    unsigned floor { 0 };
+    double busyEngines { 0 };
+    double running { 0 };
+    double chanceOfReclaim { 0 }; // Of a zone, within the boot time.
+    bool dry { false };
+    unsigned reclaimableOrdered { 0 };
+    unsigned lastingOrdered { 0 };
+
+    // The same outcome, whatever the inputs.
+    bool sameOutcome(const ScaleDecision& other) const
+    {
+        return needed == other.needed && dry == other.dry && reclaimableOrdered == other.reclaimableOrdered && lastingOrdered == other.lastingOrdered;
+    }
+};
+
+// The largest of the values of the last while.
+class RecentMost {
+public:
+    // Takes a value, and returns the largest since `now - memory`.
+    unsigned take(unsigned value, SteadyTime now, Milliseconds memory)
+    {
+        while (!m_falling.empty() && m_falling.back().value <= value)
+            m_falling.pop_back();
+        m_falling.push_back({ .at = now, .value = value });
+        while (now - m_falling.front().at > memory)
+            m_falling.pop_front();
+        return m_falling.front().value;
+    }
+
+private:
+    struct Entry {
+        SteadyTime at {};
+        unsigned value { 0 };
+    };
+
+    std::deque<Entry> m_falling {}; // Each is smaller than the one before it.
 };
 
 class EndpointScaler {
@@ -38,6 +83,8 @@
 
     // What to order now.
     std::vector<ScaleOrder> orders(const TrafficConfiguration&, const EndpointList&, const std::map<std::string, ServiceDemand>& demand, SteadyTime now);
+    // What the last orders were decided by, for the log: each change of what is wanted once.
+    std::vector<ScaleDecision> takeDecisions();
     // The order was taken, or there were none to be had.
     void ordered(const ScaleOrder&, SteadyTime now);
     void refused(const ScaleOrder&, SteadyTime now);
@@ -49,23 +96,24 @@
         unsigned lasting { 0 };
         SteadyTime closedUntil {}; // No reclaimable ones are to be had.
         unsigned reclaimableOrdered { 0 };
+        SteadyTime reclaimableOrderedAt {}; // When an order for more was last taken.
+        unsigned givenBack { 0 }; // By orders for fewer; these leave because we asked for it.
         unsigned lastingOrdered { 0 };
     };
 
-    struct Need {
-        SteadyTime at {};
-        unsigned endpoints { 0 };
-    };
-
     struct ServiceState {
         unsigned needed { 0 };
-        std::deque<Need> recentNeeds {}; // Falling: the first is the most.
+        RecentMost recentNeeds {};
+        RecentMost recentPerZone {}; // Of reclaimable ones.
         unsigned slots { 1 }; // Of one endpoint.
         unsigned floor { 0 }; // Needed in any case, as found at the start,
         SteadyTime floorUntil {}; // until demand has been seen for a while.
-        SteadyTime shortageSeenAt {};
+        SteadyTime refusedAt {};
         bool demandSeen { false };
+        unsigned mostListed { 0 };
+        SteadyTime listGrewAt {};
         bool lastingPlanned { false }; // Before that, those that are there count as ordered.
+        ReclaimOutlook outlook {};
         std::map<std::string, ZoneState> zones {};
     };
 
@@ -75,16 +123,24 @@
     };
 
     void readList(const TrafficService&, const EndpointList&, ServiceState&, SteadyTime now);
+    void noteLeaving(const std::map<std::string, unsigned>& leavingByZone, ServiceState&, SteadyTime now);
     void updateFloor(const ServiceDemand&, ServiceState&, SteadyTime now);
     void updateNeeded(const ServiceDemand&, ServiceState&, SteadyTime now);
     void planReclaimable(const ScalingBounds&, ServiceState&, SteadyTime now);
+    unsigned reclaimablePerZone(const ScalingBounds&, const ServiceState&, SteadyTime now) const;
+    unsigned wantedLasting(const ScalingBounds&, const ServiceState&, SteadyTime now) const;
     void planLasting(const ScalingBounds&, ServiceState&, SteadyTime now);
+    bool isDry(const ServiceState&, SteadyTime now) const;
+    static void noteRefusal(ServiceState&, SteadyTime now);
+    void noteDecision(const std::string& service, const ServiceDemand&, const ServiceState&, SteadyTime now);
     void add(const ScaleOrder&, SteadyTime now, std::vector<ScaleOrder>&);
 
     EndpointScalerOptions m_options;
     std::map<std::string, ServiceState> m_services {};
     std::map<ScaleOrder, Given> m_given {}; // By the order with no endpoints.
     std::map<std::string, SteadyTime> m_leavingSeen {}; // Reclaimable endpoints that are leaving, by id.
+    std::map<std::string, ScaleDecision> m_decisions {}; // The last ones that were logged, by service.
+    std::vector<ScaleDecision> m_newDecisions {};
 };
 
 } // namespace Onyxnotch
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -175,6 +175,7 @@
             .leaving = forward.stopping,
             .hasDuties = options.duties.reportsUsage || options.duties.ordersEndpoints,
             .holdsDuties = control.holdsDuties,
+            .leftDutiesFence = control.leftDutiesFence,
             .trueMilliseconds = static_cast<std::uint64_t>(steadyMilliseconds() + ownClockDifference),
             .configurationVersion = configuration ? configuration->version() : 0,
             .watchesStore = control.watchesStore,
@@ -211,7 +212,11 @@
         std::string configurationZone;
         for (const auto* row : alive) {
             result.peerHoldsDuties = result.peerHoldsDuties || row->holdsDuties;
-            if (!row->leaving && row->hasDuties && row->node < options.node)
+            if (row->leftDutiesFence > 0 && !row->holdsDuties)
+                result.leftDutiesFences.emplace(row->node, row->leftDutiesFence);
+            // One that the store turns away cannot take the lease.
+            bool candidate = !row->leaving && row->hasDuties && row->watchesStore;
+            if (candidate && (row->node < options.node || !control.watchesStore))
                 result.firstCandidate = false;
             if (row->watchesStore && isBetterSource(row->endpointsRevision, row->zone, result.peerEndpointsRevision, endpointsZone)) {
                 result.peerEndpointsRevision = row->endpointsRevision;
@@ -394,6 +399,7 @@
             co_await sleepFor(context, controlStep);
             flushLog();
             node.m_controlState.holdsDuties = duties.holds();
+            node.m_controlState.leftDutiesFence = duties.leftFence();
             node.m_controlState.watchesStore = configurations.connected() && endpoints.connected();
             if (registry.expire(endpoints.lastFailure(), steadyNow()))
                 publishEndpoints();
--- a/modules/entry/entry_node.h
+++ b/modules/entry/entry_node.h
@@ -64,6 +64,7 @@
     // What the control thread tells the request thread, for the node's row.
     struct ControlState {
         std::atomic<bool> holdsDuties { false };
+        std::atomic<std::uint64_t> leftDutiesFence { 0 };
         std::atomic<bool> watchesStore { false };
         std::atomic<std::uint64_t> endpointsRevision { 0 };
     };
--- a/modules/peers/peer_row.h
+++ b/modules/peers/peer_row.h
@@ -38,6 +38,7 @@
     bool leaving { false };
     bool hasDuties { true }; // It may take the duties that one node at a time has.
     bool holdsDuties { false };
+    std::uint64_t leftDutiesFence { 0 }; // The last fence under which it held the duties and does no more; 0 for none in this life.
     std::uint64_t trueMilliseconds { 0 }; // The sender's time of day when it sent the row.
     std::uint64_t configurationVersion { 0 };
     bool watchesStore { false }; // It follows the store itself, and its watch works.
@@ -53,7 +54,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(node, lifetime, sequence, ageMilliseconds, zone, gossipAddress, controlAddress, leaving, hasDuties, holdsDuties, trueMilliseconds, configurationVersion, watchesStore, endpointsRevision, teamTotals, usage,
+        archive(node, lifetime, sequence, ageMilliseconds, zone, gossipAddress, controlAddress, leaving, hasDuties, holdsDuties, leftDutiesFence, trueMilliseconds, configurationVersion, watchesStore, endpointsRevision, teamTotals, usage,
             loads, leavingEndpoints, demand);
     }
 };
--- a/modules/placement/lease.cpp
+++ b/modules/placement/lease.cpp
@@ -76,7 +76,7 @@
         ++write.record.renewals;
         return write;
     }
-    bool released = m_record->holder.empty();
+    bool released = m_record->holder.empty() || (m_record->holder == m_formerHolder && m_record->fence <= m_formerFence);
     bool lapsed = now - m_unchangedSince >= scaled(m_options.duration, 1 + m_options.clockRateBound);
     if (!released && !lapsed)
         return std::nullopt;
@@ -106,6 +106,12 @@
     m_held = write.record.holder == m_self;
 }
 
+void LeaseMachine::holderGaveUp(const std::string& holder, std::uint64_t fence)
+{
+    m_formerHolder = holder;
+    m_formerFence = fence;
+}
+
 void LeaseMachine::forget() { m_observed = false; }
 
 bool LeaseMachine::holds(SteadyTime now) const { return left(now).count() > 0; }
--- a/modules/placement/lease.h
+++ b/modules/placement/lease.h
@@ -61,6 +61,9 @@
     std::optional<LeaseWrite> nextWithNote(const std::string& note, SteadyTime now) const;
     // The write was carried out. The lease counts from before it was sent.
     void written(const LeaseWrite&, std::uint64_t newVersion, SteadyTime sentAt);
+    // A holder says itself that it holds the lease under this fence no more, and sends nothing under it: nobody need wait until it lapses.
+    // Where it has renewed it all the same, the condition of the write that takes it fails.
+    void holderGaveUp(const std::string& holder, std::uint64_t fence);
     // The write failed or its answer was lost: the lease must be read before the next write.
     void forget();
 
@@ -83,6 +86,8 @@
     SteadyTime m_takenAt {};
     std::uint64_t m_fence { 0 };
     bool m_held { false };
+    std::string m_formerHolder {}; // Has given the lease up,
+    std::uint64_t m_formerFence { 0 }; // under this fence.
 };
 
 } // namespace Onyxnotch
--- /dev/null
+++ b/tests/modules/duty/test_reclaim_outlook.cpp
@@ -0,0 +1,48 @@
+#include "modules/duty/reclaim_outlook.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Onyxnotch;
+
+namespace {
+
+SteadyTime at(int milliseconds) { return SteadyTime(std::chrono::hours(1)) + Milliseconds(milliseconds); }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ReclaimOutlooks)
+
+BOOST_AUTO_TEST_CASE(one_reclaim_makes_the_next_likely_for_a_while)
+{
+    ReclaimOutlook outlook;
+    outlook.advance(4, at(0));
+    auto calm = outlook.chanceWithin(4, at(0));
+    outlook.onReclaim(at(100));
+    BOOST_TEST(outlook.inWave(at(200)));
+    BOOST_TEST(outlook.chanceWithin(4, at(200)) > 5 * calm);
+    BOOST_TEST(!outlook.inWave(at(10000)));
+    BOOST_TEST(outlook.chanceWithin(4, at(10000)) < 3 * calm);
+}
+
+BOOST_AUTO_TEST_CASE(a_long_calm_lowers_the_chance)
+{
+    ReclaimOutlook outlook;
+    auto before = outlook.chanceWithin(4, at(0));
+    for (int now = 0; now <= 600000; now += 1000)
+        outlook.advance(4, at(now));
+    BOOST_TEST(outlook.chanceWithin(4, at(600000)) < before / 10);
+}
+
+BOOST_AUTO_TEST_CASE(shortfalls_of_two_zones)
+{
+    // Four needed, two zones of three, each lost with a chance of a tenth.
+    auto chances = shortfallChances(4, { { .endpoints = 3, .chanceOfLoss = 0.1 }, { .endpoints = 3, .chanceOfLoss = 0.1 } });
+    BOOST_REQUIRE(chances.size() == 4U);
+    BOOST_TEST(std::abs(chances[0] - 0.19) < 1e-9); // One of them at least.
+    BOOST_TEST(std::abs(chances[1] - 0.01) < 1e-9); // Both.
+    BOOST_TEST(std::abs(chances[3] - 0.01) < 1e-9);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_needed_is_never_missing) { BOOST_TEST(shortfallChances(0, { { .endpoints = 3, .chanceOfLoss = 0.5 } }).empty()); }
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/modules/placement/test_lease.cpp
+++ b/tests/modules/placement/test_lease.cpp
@@ -71,6 +71,25 @@
     });
 }
 
+// Found by the bench: a holder that the store turned away lost its lease, and nobody had the duties for eight seconds of a shortage.
+BOOST_AUTO_TEST_CASE(a_lease_that_its_holder_gave_up_is_taken_at_once)
+{
+    auto now = SteadyTime();
+    LeaseMachine machine("b", { .duration = Milliseconds(1000) });
+    LeaseRecord record { .holder = "a", .fence = 3 };
+    machine.observe(record, 7, now, now);
+    BOOST_TEST(!machine.next(now).has_value());
+    machine.holderGaveUp("a", 2);
+    BOOST_TEST(!machine.next(now).has_value());
+    machine.holderGaveUp("c", 3);
+    BOOST_TEST(!machine.next(now).has_value());
+    machine.holderGaveUp("a", 3);
+    auto wanted = machine.next(now);
+    BOOST_REQUIRE(wanted.has_value());
+    BOOST_TEST(wanted->record.fence == 4U);
+    BOOST_TEST(wanted->version == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(a_paused_holder_finds_that_its_lease_has_lapsed)
 {
     LeaseMachine machine("a", { .duration = Milliseconds(1000) });
