--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr Milliseconds markSpreadTime { 5000 }; // Twice what a row needs to reach a node of another zone in a fleet of a hundred.
+    constexpr double comfortablePart = 0.4; // Of the objective: an expectation that is wrong by a factor of two is still on time.
     constexpr double reservedMemoryPart = 0.75; // Of an engine's memory that prefixes may keep; running requests take the rest.
 
     std::uint64_t hashText(const std::string& text) { return mixHash(std::hash<std::string> {}(text), 0); }
@@ -82,7 +83,7 @@
     auto chains = chainHashes(request.parts);
     // The last part belongs to the request itself or to its session; what stands before it is shared.
     auto key = chains.size() > 1 ? chains[chains.size() - 2] : (chains.empty() ? 0 : chains.back());
-    ChoiceRequest wanted { .promptTokens = request.promptTokens };
+    ChoiceRequest wanted { .promptTokens = request.promptTokens, .comfortableSeconds = request.objectiveSeconds * comfortablePart };
     for (std::size_t n = 0; n + 1 < request.parts.size(); ++n)
         wanted.sharedTokens += request.parts[n].tokens;
     std::vector<ChoiceCandidate> candidates;
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -46,6 +46,7 @@
     std::string service {};
     std::vector<PromptPart> parts {};
     double promptTokens { 0 };
+    double objectiveSeconds { 0 }; // What is left of it.
     std::vector<std::string> excluded {}; // Ids that this request was sent to before.
 };
 
--- a/modules/balance/endpoint_choice.cpp
+++ b/modules/balance/endpoint_choice.cpp
@@ -1,6 +1,7 @@
 #include "modules/balance/endpoint_choice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Onyxnotch {
 
@@ -21,23 +22,38 @@
     if (candidates.empty())
         return std::nullopt;
     auto home = std::max_element(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) { return left.rank < right.rank; });
-    std::optional<EndpointChoice> best;
-    std::uint64_t bestRank = 0;
+    struct Rated {
+        EndpointChoice choice {};
+        std::uint64_t rank { 0 };
+        bool comfortable { false };
+    };
+    // Prompts that differ by less than a block of an engine's memory are read alike.
+    constexpr double sameTokens = 64;
+    auto isBetter = [](const Rated& left, const Rated& right) {
+        if (left.comfortable != right.comfortable)
+            return left.comfortable;
+        if (left.comfortable && std::abs(left.choice.uncachedTokens - right.choice.uncachedTokens) > sameTokens)
+            return left.choice.uncachedTokens < right.choice.uncachedTokens;
+        if (left.choice.expectedSeconds != right.choice.expectedSeconds)
+            return left.choice.expectedSeconds < right.choice.expectedSeconds;
+        return left.rank > right.rank;
+    };
+    std::optional<Rated> best;
     for (auto it = candidates.begin(); it != candidates.end(); ++it) {
         auto candidate = *it;
         if (it == home)
             candidate.keptTokens = std::max(candidate.keptTokens, request.sharedTokens);
         auto seconds = expectedSeconds(candidate, request, options);
-        bool better = !best || seconds < best->expectedSeconds || (seconds == best->expectedSeconds && candidate.rank > bestRank);
-        if (!better)
-            continue;
-        best = { .candidate = static_cast<std::size_t>(it - candidates.begin()),
-            .uncachedTokens = std::max(0.0, request.promptTokens - candidate.keptTokens),
-            .expectedSeconds = seconds,
-            .reason = it == home ? "home" : "least_wait" };
-        bestRank = candidate.rank;
+        Rated rated { .choice = { .candidate = static_cast<std::size_t>(it - candidates.begin()),
+                          .uncachedTokens = std::max(0.0, request.promptTokens - candidate.keptTokens),
+                          .expectedSeconds = seconds,
+                          .reason = it == home ? "home" : "least_wait" },
+            .rank = candidate.rank,
+            .comfortable = seconds <= request.comfortableSeconds };
+        if (!best || isBetter(rated, *best))
+            best = rated;
     }
-    return best;
+    return best->choice;
 }
 
 } // namespace Onyxnotch
--- a/modules/balance/endpoint_choice.h
+++ b/modules/balance/endpoint_choice.h
@@ -24,6 +24,7 @@
 struct ChoiceRequest {
     double promptTokens { 0 }; // 0 for services without prompts.
     double sharedTokens { 0 }; // Of these, in parts that other requests may share.
+    double comfortableSeconds { 0 }; // Whatever begins within this time is on time: then what is read less is better than what is sooner.
 
     bool operator==(const ChoiceRequest&) const = default;
 };
@@ -47,7 +48,8 @@
 // The time until a first token, or an answer's begin, at this candidate.
 double expectedSeconds(const ChoiceCandidate&, const ChoiceRequest&, const ChoiceOptions&);
 
-// The candidate with the least expected time. The one with the highest rank is expected to keep the shared parts even where this node
+// Of the candidates that begin within the comfortable time, the one that reads the least; without any, the one with the least expected
+// time. The one with the highest rank is expected to keep the shared parts even where this node
 // cannot tell: other nodes send them there too. Empty where there are no candidates.
 std::optional<EndpointChoice> chooseEndpoint(const std::vector<ChoiceCandidate>&, const ChoiceRequest&, const ChoiceOptions&);
 
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -123,9 +123,15 @@
     co_return m_callerLeft ? ExchangeEnd::Close : end;
 }
 
+double Exchange::objectiveLeft() const
+{
+    auto left = m_route->objective - (steadyNow() - m_request.arrivedAt);
+    return std::max(0.0, std::chrono::duration<double>(left).count());
+}
+
 std::optional<ChosenEndpoint> Exchange::chooseEndpoint()
 {
-    return m_context.endpoints.choose({ .service = m_service->name, .parts = m_parts, .promptTokens = m_promptTokens, .excluded = m_tried }, steadyNow());
+    return m_context.endpoints.choose({ .service = m_service->name, .parts = m_parts, .promptTokens = m_promptTokens, .objectiveSeconds = objectiveLeft(), .excluded = m_tried }, steadyNow());
 }
 
 asio::awaitable<ExchangeEnd> Exchange::tryEndpoints()
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -61,6 +61,7 @@
     void refundTeam();
     asio::awaitable<bool> toCaller(std::string_view bytes);
     Milliseconds timeLeft() const;
+    double objectiveLeft() const; // In seconds.
     bool isOurStreamAnswer(const HttpHead&) const;
     void countRun();
     void writeLog(int status, std::string_view outcome);
