Tell peers of a long prompt at once, and let what they told be read meanwhile

Ruled out: the estimate itself (median 43, 52, 75, 121, 219 ms expected, 36, 47, 71, 113, 219 ms seen, by size of prompt).

--- a/core/net/frame.h
+++ b/core/net/frame.h
@@ -29,6 +29,7 @@
     LedgerUpdate = 11,
     IndirectProbe = 12,
     PeerRow = 13,
+    PrefillNotice = 14,
 };
 
 struct Frame {
--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -92,7 +92,7 @@
         candidates.push_back({
             .slots = it->listed.slots,
             .inFlight = it->inFlight + it->peersInFlight,
-            .waitingTokens = it->waitingTokens + it->peersWaitingTokens,
+            .waitingTokens = waitingTokens(*it, now),
             .keptTokens = it->prefixes.keptTokens(request.parts),
             .rank = mixHash(hashText(it->listed.id), key),
             .sameZone = it->listed.zone == m_zone,
@@ -104,7 +104,11 @@
     const auto& endpoint = usable[choice->candidate];
     if (!request.parts.empty())
         endpoint->prefixes.touch(request.parts, memoryTokens(request.service));
-    return ChosenEndpoint { .endpoint = endpoint, .expectedSeconds = choice->expectedSeconds, .uncachedTokens = choice->uncachedTokens, .reason = choice->reason };
+    return ChosenEndpoint { .endpoint = endpoint,
+        .expectedSeconds = choice->expectedSeconds,
+        .uncachedTokens = choice->uncachedTokens,
+        .waitingTokens = candidates[choice->candidate].waitingTokens,
+        .reason = choice->reason };
 }
 
 std::vector<EndpointLoadReport> EndpointBook::ownLoads() const
@@ -117,12 +121,33 @@
     return loads;
 }
 
-void EndpointBook::setPeerLoads(const std::map<std::string, EndpointLoadReport>& loads)
+double EndpointBook::waitingTokens(const EndpointState& state, SteadyTime now) const
+{
+    auto rate = m_firstEvents.secondsPerToken();
+    if (rate <= 0)
+        return state.waitingTokens + state.peersWaitingTokens;
+    auto readSince = std::chrono::duration<double>(now - state.peersToldAt).count() / rate;
+    auto announced = std::chrono::duration<double>(state.peersPrefillEnd - now).count() / rate;
+    // A prompt that was told at once stands in the next row as well.
+    return state.waitingTokens + std::max({ 0.0, state.peersWaitingTokens - readSince, announced });
+}
+
+void EndpointBook::notePeersPrefill(const std::string& endpoint, double tokens, SteadyTime now)
+{
+    auto it = m_endpoints.find(endpoint);
+    if (it == m_endpoints.end())
+        return;
+    auto duration = std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(prefillSeconds(tokens)));
+    it->second->peersPrefillEnd = std::max(it->second->peersPrefillEnd, now) + duration;
+}
+
+void EndpointBook::setPeerLoads(const std::map<std::string, EndpointLoadReport>& loads, SteadyTime now)
 {
     for (const auto& [id, state] : m_endpoints) {
         auto it = loads.find(id);
         state->peersInFlight = it == loads.end() ? 0 : it->second.inFlight;
         state->peersWaitingTokens = it == loads.end() ? 0 : it->second.waitingTokens;
+        state->peersToldAt = now;
     }
 }
 
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -36,7 +36,9 @@
     unsigned inFlight { 0 };
     double waitingTokens { 0 };
     double peersInFlight { 0 };
-    double peersWaitingTokens { 0 };
+    double peersWaitingTokens { 0 }; // At `peersToldAt`; they are read meanwhile.
+    SteadyTime peersToldAt {};
+    SteadyTime peersPrefillEnd {}; // By when long prompts that peers told of at once should have been read.
     EndpointHealth health {};
     PrefixCache prefixes {};
 };
@@ -54,6 +56,7 @@
     std::shared_ptr<EndpointState> endpoint {};
     double expectedSeconds { 0 };
     double uncachedTokens { 0 };
+    double waitingTokens { 0 }; // Before this request, as expected.
     std::string_view reason {};
 };
 
@@ -92,7 +95,11 @@
     // Own requests in flight, for the other nodes.
     std::vector<EndpointLoadReport> ownLoads() const;
     // Sums over all other nodes, by endpoint.
-    void setPeerLoads(const std::map<std::string, EndpointLoadReport>&);
+    void setPeerLoads(const std::map<std::string, EndpointLoadReport>&, SteadyTime now);
+    // Another node has just sent a long prompt there.
+    void notePeersPrefill(const std::string& endpoint, double tokens, SteadyTime now);
+    // Tokens of prompts, of this node and of the others, that should not have been read yet.
+    double waitingTokens(const EndpointState&, SteadyTime now) const;
 
     // A request that found nothing waiting had its first event after `seconds`.
     void observeFirstEvent(double uncachedTokens, double seconds);
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -41,12 +41,14 @@
         , forward(context, trafficView, metrics, entryOptions.forward, entryOptions.retries)
         , server(forward, entryOptions.callers)
         , peers(entryOptions.node)
-        , exchange(context, peers, { .listen = entryOptions.gossip, .seeds = entryOptions.seeds, .zone = entryOptions.zone }, [this](const PeerRow& row, bool newLife) { onRow(row, newLife); })
+        , exchange(context, peers, { .listen = entryOptions.gossip, .seeds = entryOptions.seeds, .zone = entryOptions.zone }, [this](const PeerRow& row, bool newLife) { onRow(row, newLife); },
+              [this](const PrefillNotice& notice) { forward.endpoints.notePeersPrefill(notice.endpoint, notice.tokens, steadyNow()); })
         , readiness(context, entryOptions.readiness, [this](const HttpHead&) { return answerReadiness(); })
         , lifetime(wallMilliseconds())
         , ownClockDifference(static_cast<std::int64_t>(lifetime) - steadyMilliseconds())
     {
         forward.clockDifference = ownClockDifference;
+        forward.tellLongPrefill = [this](const std::string& endpoint, double tokens) { exchange.send(PrefillNotice { .endpoint = endpoint, .tokens = tokens }); };
     }
 
     static constexpr std::uint32_t usageEvery = 4; // Rows; PeerExchange sends each such row to the holder of the duties.
@@ -108,7 +110,7 @@
         forward.metrics.set("onyxnotch_entry_held_bytes", static_cast<double>(forward.heldBodies.held()));
         if (auto leftOut = forward.answeredLines.takeLeftOut() + forward.failedLines.takeLeftOut())
             logEvent(LogLevel::Info, "request_lines_left_out", { { "count", leftOut } });
-        forward.endpoints.setPeerLoads(sumLoads(alive));
+        forward.endpoints.setPeerLoads(sumLoads(alive), now);
         // Usage is long, and wanted by one node: a row a second has it.
         bool withUsage = ++ticks % usageEvery == 0;
         exchange.send(ownRow(withUsage), withUsage);
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -169,7 +169,9 @@
     m_choiceReason = chosen.reason;
     m_expectedMilliseconds = static_cast<long>(chosen.expectedSeconds * 1000);
     m_uncachedTokens = static_cast<long>(chosen.uncachedTokens);
-    m_waitingTokens = static_cast<long>(chosen.endpoint->waitingTokens + chosen.endpoint->peersWaitingTokens - chosen.uncachedTokens);
+    m_waitingTokens = static_cast<long>(chosen.waitingTokens);
+    if (m_context.tellLongPrefill && m_context.endpoints.prefillSeconds(chosen.uncachedTokens) > std::chrono::duration<double>(m_context.options.longPrefill).count())
+        m_context.tellLongPrefill(m_lastEndpoint, chosen.uncachedTokens);
     m_call = &call;
     m_flight = &flight;
     m_sentAt = steadyNow();
@@ -286,7 +288,7 @@
     m_firstEventMilliseconds = toMilliseconds(steadyNow() - m_request.arrivedAt).count();
     m_flight->prefilled();
     // Only a request that found nothing waiting, and that nothing came beside, tells how fast a prompt is read.
-    if (m_waitingTokens == 0 && chosen.endpoint->waitingTokens == 0 && chosen.endpoint->peersWaitingTokens == 0)
+    if (m_waitingTokens == 0 && m_context.endpoints.waitingTokens(*chosen.endpoint, steadyNow()) == 0)
         m_context.endpoints.observeFirstEvent(chosen.uncachedTokens, seconds);
 }
 
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -9,6 +9,7 @@
 #include "modules/limits/retry_budget.h"
 #include "modules/limits/team_limits.h"
 #include "modules/limits/usage_ledger.h"
+#include <functional>
 #include <random>
 
 namespace Onyxnotch {
@@ -26,6 +27,7 @@
     Milliseconds idleDefault { 4000 }; // Where an endpoint does not say how long it keeps one.
     Milliseconds comeBackAfter { 300 }; // Told with a refusal for want of an endpoint.
     Milliseconds leastTimeToSend { 10 }; // A request with less time left is not sent: no endpoint could answer.
+    Milliseconds longPrefill { 40 }; // A sixth of the gossip period: what is shorter is over before others could have heard.
     unsigned usageWindowMilliseconds { 5000 };
 };
 
@@ -107,6 +109,8 @@
     std::int64_t clockDifference { 0 }; // Time of day less the monotonic clock, in milliseconds, as agreed with the other nodes.
     HeldBytes heldBodies; // Of callers.
     bool stopping { false };
+    // Another node's choice had better know of a prompt that keeps an endpoint busy for longer than this.
+    std::function<void(const std::string& endpoint, double tokens)> tellLongPrefill {};
     unsigned nodes { 1 }; // That share the endpoints' connections, this one included.
     std::mt19937_64 random { std::random_device {}() };
 };
--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -6,10 +6,11 @@
 
 namespace Onyxnotch {
 
-PeerExchange::PeerExchange(asio::io_context& context, PeerTable& table, const PeerExchangeOptions& options, RowReceiver receiver)
+PeerExchange::PeerExchange(asio::io_context& context, PeerTable& table, const PeerExchangeOptions& options, RowReceiver receiver, NoticeReceiver noticeReceiver)
     : m_table(table)
     , m_options(options)
     , m_receiver(std::move(receiver))
+    , m_noticeReceiver(std::move(noticeReceiver))
     , m_socket(context)
 {
 }
@@ -55,6 +56,10 @@
     auto frame = decodeFrame(std::string_view(m_buffer.data(), size));
     if (!frame)
         return;
+    if (auto notice = unpackMessage<PrefillNotice>(MessageType::PrefillNotice, frame.value())) {
+        m_noticeReceiver(notice.value());
+        return;
+    }
     auto message = unpackMessage<PeerMessage>(MessageType::PeerRow, frame.value());
     if (!message) {
         logEvent(LogLevel::Warning, "peer_message_refused", { { "error", message.error().message } });
@@ -139,6 +144,13 @@
         sendBytes(it, bytes);
 }
 
+void PeerExchange::send(const PrefillNotice& notice)
+{
+    auto bytes = encodeFrame(packMessage(MessageType::PrefillNotice, notice));
+    for (const auto& it : receivers(false))
+        sendBytes(it, bytes);
+}
+
 void PeerExchange::sendTo(const Address& address, const PeerRow& row) { sendBytes(address, encode(row)); }
 
 void PeerExchange::greetAll(const PeerRow& row)
--- a/modules/peers/peer_exchange.h
+++ b/modules/peers/peer_exchange.h
@@ -31,12 +31,16 @@
     // `newLife`: the node had not spoken since its last start.
     using RowReceiver = std::function<void(const PeerRow&, bool newLife)>;
 
-    PeerExchange(asio::io_context&, PeerTable&, const PeerExchangeOptions&, RowReceiver);
+    using NoticeReceiver = std::function<void(const PrefillNotice&)>;
+
+    PeerExchange(asio::io_context&, PeerTable&, const PeerExchangeOptions&, RowReceiver, NoticeReceiver);
 
     Status start();
     Address address() const;
     // Sends the row now; one that the holder of the duties needs goes to it as well.
     void send(const PeerRow&, bool toDutyHolder);
+    // To those nodes that a row would go to.
+    void send(const PrefillNotice&);
     // To one node: an answer to the first row of its life.
     void sendTo(const Address&, const PeerRow&);
     // To every node that is known so far, up to a bound: they answer, so that a node that has just started hears all at once.
@@ -57,6 +61,7 @@
     PeerTable& m_table;
     PeerExchangeOptions m_options;
     RowReceiver m_receiver;
+    NoticeReceiver m_noticeReceiver;
     asio::ip::udp::socket m_socket;
     asio::ip::udp::endpoint m_sender {};
     std::array<char, 65536> m_buffer {};
--- a/modules/peers/peer_row.h
+++ b/modules/peers/peer_row.h
@@ -79,4 +79,15 @@
     void serialize(Archive& archive) { archive(row, contacts); }
 };
 
+// A node has sent a long prompt to an endpoint: told at once, since it is read before the next row is due.
+struct PrefillNotice {
+    std::string endpoint {};
+    double tokens { 0 }; // Not cached, as the sender expects.
+
+    bool operator==(const PrefillNotice&) const = default;
+
+    template <class Archive>
+    void serialize(Archive& archive) { archive(endpoint, tokens); }
+};
+
 } // namespace Onyxnotch
