--- a/modules/duty/endpoint_scaler.cpp
+++ b/modules/duty/endpoint_scaler.cpp
@@ -67,8 +67,13 @@
         auto ours = std::min(zone.givenBack, leaving);
         zone.givenBack -= ours;
         auto taken = leaving - ours;
-        if (taken == 0 || zone.reclaimable > taken)
+        if (taken == 0)
             continue;
+        // The list may still hold some that have crashed: fewer than all may be the sign of a reclaim as well, and is no more than that.
+        if (zone.reclaimable > taken) {
+            state.outlook.onSign(now);
+            continue;
+        }
         state.outlook.onReclaim(now);
         zone.closedUntil = std::max(zone.closedUntil, now + m_options.reclaimedFor);
     }
@@ -97,7 +102,8 @@
     auto zones = static_cast<double>(std::max<std::size_t>(2, state.zones.size()));
     auto found = takenOver ? lasting + reclaimable * (zones - 1) / zones : lasting * m_options.initialPart;
     state.floor = std::max(state.floor, static_cast<unsigned>(std::ceil(found)));
-    state.floorUntil = now + m_options.lowerAfter;
+    state.floorUntil = now + (takenOver || state.takenOver ? m_options.lowerAfter : m_options.demandKnownAfter);
+    state.takenOver = state.takenOver || takenOver;
 }
 
 void EndpointScaler::updateNeeded(const ServiceDemand& demand, ServiceState& state, SteadyTime now)
@@ -278,7 +284,7 @@
 void EndpointScaler::noteRefusal(ServiceState& state, SteadyTime now)
 {
     state.refusedAt = now;
-    state.outlook.onRefusal(now);
+    state.outlook.onSign(now);
 }
 
 void EndpointScaler::refused(const ScaleOrder& order, SteadyTime now)
--- a/modules/duty/endpoint_scaler.h
+++ b/modules/duty/endpoint_scaler.h
@@ -21,7 +21,8 @@
     // What a missing endpoint loses, in units of the on-demand price of one for the same time: what it serves is worth some times what it
     // costs, and a shortage counts more than its time. docs/DECISIONS.md tells the measurement.
     double workValue { 8 };
-    double initialPart { 0.5 }; // Of the endpoints found at the start, until demand is known.
+    double initialPart { 0.7 }; // Of the endpoints found at the start, until demand is known: engines that are new have read no prefix.
+    Milliseconds demandKnownAfter { 4000 }; // Since the first request: the average has risen, and prefixes have been asked for.
     // The most that was needed in this time is needed still. An endpoint given back sooner would cost its start, some seconds of its
     // price, and its prefixes.
     Milliseconds lowerAfter { 10000 };
@@ -110,6 +111,7 @@
         SteadyTime floorUntil {}; // until demand has been seen for a while.
         SteadyTime refusedAt {};
         bool demandSeen { false };
+        bool takenOver { false }; // From an earlier holder of the duties.
         unsigned mostListed { 0 };
         SteadyTime listGrewAt {};
         bool lastingPlanned { false }; // Before that, those that are there count as ordered.
--- a/modules/duty/reclaim_outlook.h
+++ b/modules/duty/reclaim_outlook.h
@@ -16,7 +16,7 @@
     // one in eight seconds in a wave. Where reclaims are rarer, some minutes without one correct this.
     double calmZoneSeconds { 120 };
     double waveZoneSeconds { 8 };
-    Milliseconds waveLasts { 6000 }; // Since the last reclaim or refusal.
+    Milliseconds waveLasts { 6000 }; // Since the last reclaim or sign of one.
 };
 
 class ReclaimOutlook {
@@ -26,7 +26,8 @@
     // Time goes on, with so many zones that hold reclaimable endpoints.
     void advance(unsigned zones, SteadyTime now);
     void onReclaim(SteadyTime now);
-    void onRefusal(SteadyTime now) { m_lastSignAt = now; }
+    // None were to be had, or single ones left: a wave may have begun.
+    void onSign(SteadyTime now) { m_lastSignAt = now; }
     bool inWave(SteadyTime now) const;
     // The chance that a zone loses its reclaimable endpoints within this time.
     double chanceWithin(double seconds, SteadyTime now) const;
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -41,7 +41,8 @@
         , forward(context, trafficView, metrics, entryOptions.forward, entryOptions.retries)
         , server(forward, entryOptions.callers)
         , peers(entryOptions.node)
-        , exchange(context, peers, { .listen = entryOptions.gossip, .seeds = entryOptions.seeds, .zone = entryOptions.zone }, [this](const PeerRow& row, bool newLife) { onRow(row, newLife); },
+        , exchange(
+              context, peers, { .listen = entryOptions.gossip, .seeds = entryOptions.seeds, .zone = entryOptions.zone }, [this](const PeerRow& row, bool newLife) { onRow(row, newLife); },
               [this](const PrefillNotice& notice) { forward.endpoints.notePeersPrefill(notice.endpoint, notice.tokens, steadyNow()); })
         , readiness(context, entryOptions.readiness, [this](const HttpHead&) { return answerReadiness(); })
         , lifetime(wallMilliseconds())
@@ -232,9 +233,9 @@
             result.peerHoldsDuties = result.peerHoldsDuties || row->holdsDuties;
             if (row->leftDutiesFence > 0 && !row->holdsDuties)
                 result.leftDutiesFences.emplace(row->node, row->leftDutiesFence);
-            // One that the store turns away cannot take the lease.
-            bool candidate = !row->leaving && row->hasDuties && row->watchesStore;
-            if (candidate && (row->node < options.node || !control.watchesStore))
+            // One that the store turns away cannot take the lease, and one that has just lost it does not know so yet.
+            bool candidate = !row->leaving && row->hasDuties && row->watchesStore && row->leftDutiesFence == 0;
+            if (candidate && (row->node < options.node || !control.watchesStore || control.leftDutiesFence > 0))
                 result.firstCandidate = false;
             if (row->watchesStore && isBetterSource(row->endpointsRevision, row->zone, result.peerEndpointsRevision, endpointsZone)) {
                 result.peerEndpointsRevision = row->endpointsRevision;
--- a/tests/modules/duty/test_endpoint_scaler.cpp
+++ b/tests/modules/duty/test_endpoint_scaler.cpp
@@ -154,6 +154,23 @@
     BOOST_TEST(market.count(true) < standing);
 }
 
+// Found by the bench: some of a zone had crashed and were still listed when the others were reclaimed, which was taken for no reclaim;
+// with enough left to begin with, no order was refused, and nothing stood in when the next zones went.
+BOOST_AUTO_TEST_CASE(a_reclaim_among_crashed_ones_is_seen)
+{
+    Market market;
+    market.demand["s"] = { .requestsPerSecond = 50, .busyEngines = 4.5 };
+    for (int now = 0; now < 20000; now += 250)
+        market.step(at(now));
+    market.dry = true;
+    auto one = std::find_if(market.list.endpoints.begin(), market.list.endpoints.end(), [](const auto& it) { return it.second.zone == "a" && it.second.reclaimable && !it.second.leaving; });
+    BOOST_REQUIRE(one != market.list.endpoints.end());
+    one->second.leaving = true;
+    for (int now = 20000; now < 21000; now += 250)
+        market.step(at(now));
+    BOOST_TEST(market.count(false) > 0U);
+}
+
 // One zone is reclaimed, and the others still give: nothing that lasts is ordered.
 BOOST_AUTO_TEST_CASE(other_zones_stand_in_where_they_have_some)
 {
