--- a/modules/control/node_summary.h
+++ b/modules/control/node_summary.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace Onyxnotch {
 
@@ -24,6 +25,17 @@
     std::map<std::string, ServiceDemand> demand {}; // Over all nodes, by service.
 };
 
+// The node that a summary is made for.
+struct SummaryOwner {
+    std::string node {};
+    std::string zone {};
+    bool watchesStore { false }; // Its own watch works.
+    bool leftDuties { false }; // It has held the duties in this life, and does no more.
+};
+
+// What the rows of the other nodes say, without what only the node itself knows. Pure.
+NodeSummary summarizePeers(const std::vector<const PeerRow*>& alive, const SummaryOwner&);
+
 class NodeSummarySlot {
 public:
     std::shared_ptr<const NodeSummary> get() const { return m_summary.load(); }
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -207,55 +207,19 @@
         };
     }
 
-    // The newest, and of those as new one of the own zone.
-    bool isBetterSource(std::uint64_t version, const std::string& zone, std::uint64_t bestVersion, const std::string& bestZone) const
-    {
-        return version > bestVersion || (version == bestVersion && version > 0 && zone == options.zone && bestZone != options.zone);
-    }
-
     NodeSummary summarize(const std::vector<const PeerRow*>& alive, SteadyTime now)
     {
-        NodeSummary result {
-            .trueMilliseconds = forward.trueMilliseconds(),
-            .madeAt = now,
-            .alivePeers = static_cast<unsigned>(alive.size()),
-            .watchesStore = shouldWatchStore(options.node, options.zone, alive, options.watching),
-            .usage = peers.usage(),
-            .demand = forward.demand.demand(),
-        };
+        auto result = summarizePeers(alive, { .node = options.node, .zone = options.zone, .watchesStore = control.watchesStore, .leftDuties = control.leftDutiesFence > 0 });
+        result.trueMilliseconds = forward.trueMilliseconds();
+        result.madeAt = now;
+        result.watchesStore = shouldWatchStore(options.node, options.zone, alive, options.watching);
+        result.usage = peers.usage();
         for (const auto& [window, counts] : forward.usage.windows()) {
             for (const auto& [team, count] : counts)
                 result.usage[window][team] += count;
         }
-        std::string endpointsZone;
-        std::string configurationZone;
-        for (const auto* row : alive) {
-            result.peerHoldsDuties = result.peerHoldsDuties || row->holdsDuties;
-            if (row->leftDutiesFence > 0 && !row->holdsDuties)
-                result.leftDutiesFences.emplace(row->node, row->leftDutiesFence);
-            // One that the store turns away cannot take the lease, and one that has just lost it does not know so yet.
-            bool candidate = !row->leaving && row->hasDuties && row->watchesStore && row->leftDutiesFence == 0;
-            if (candidate && (row->node < options.node || !control.watchesStore || control.leftDutiesFence > 0))
-                result.firstCandidate = false;
-            if (row->watchesStore && isBetterSource(row->endpointsRevision, row->zone, result.peerEndpointsRevision, endpointsZone)) {
-                result.peerEndpointsRevision = row->endpointsRevision;
-                result.peerEndpointsAddress = row->controlAddress;
-                endpointsZone = row->zone;
-            }
-            if (isBetterSource(row->configurationVersion, row->zone, result.peerConfigurationVersion, configurationZone)) {
-                configurationZone = row->zone;
-                result.peerConfigurationVersion = row->configurationVersion;
-                result.peerConfigurationAddress = row->controlAddress;
-            }
-            for (const auto& [service, demand] : row->demand) {
-                auto& sum = result.demand[service];
-                sum.requestsPerSecond += demand.requestsPerSecond;
-                sum.waiting += demand.waiting;
-                sum.running += demand.running;
-                sum.busyEngines += demand.busyEngines;
-                sum.refusedPerSecond += demand.refusedPerSecond;
-            }
-        }
+        for (const auto& [service, demand] : forward.demand.demand())
+            result.demand[service] += demand;
         return result;
     }
 
--- a/modules/peers/peer_row.h
+++ b/modules/peers/peer_row.h
@@ -23,6 +23,16 @@
 
     bool operator==(const ServiceDemand&) const = default;
 
+    ServiceDemand& operator+=(const ServiceDemand& other)
+    {
+        requestsPerSecond += other.requestsPerSecond;
+        waiting += other.waiting;
+        running += other.running;
+        busyEngines += other.busyEngines;
+        refusedPerSecond += other.refusedPerSecond;
+        return *this;
+    }
+
     template <class Archive>
     void serialize(Archive& archive) { archive(requestsPerSecond, waiting, running, busyEngines, refusedPerSecond); }
 };
