--- a/modules/duty/endpoint_scaler.h
+++ b/modules/duty/endpoint_scaler.h
@@ -43,7 +43,7 @@
     unsigned floor { 0 };
     double busyEngines { 0 };
     double running { 0 };
-    double chanceOfReclaim { 0 }; // Of a zone, within the boot time.
+    double chanceOfReclaim { 0 }; // Of a zone, within a second.
     bool dry { false };
     unsigned reclaimableOrdered { 0 };
     unsigned lastingOrdered { 0 };
