Never go on under a fence that was said to be given up, and tell lives of a holder apart in the lease

Found by reading the handover of the duties: a holder that had said that it gave up could renew the lease and go on under the same fence while another, which knew only the first, took it at once: two holders. Now it takes the lease anew under a higher fence, and who takes it at once asks that the lease was written by the life that gave up. Ruled out by the model checker: a higher fence after each restart (a late call of the earlier life would come with a lower one). Tests: two of the lease fail without it.

--- a/modules/control/node_summary.cpp
+++ b/modules/control/node_summary.cpp
@@ -45,7 +45,7 @@
     for (const auto* row : alive) {
         summary.peerHoldsDuties = summary.peerHoldsDuties || row->holdsDuties;
         if (row->leftDutiesFence > 0 && !row->holdsDuties)
-            summary.leftDutiesFences.emplace(row->node, row->leftDutiesFence);
+            summary.leftDuties.emplace(row->node, LeftDuties { .life = row->lifetime, .fence = row->leftDutiesFence });
         if (isCandidate(*row) && (row->node < owner.node || !owner.watchesStore || owner.leftDuties))
             summary.firstCandidate = false;
         if (row->watchesStore)
--- a/modules/control/node_summary.h
+++ b/modules/control/node_summary.h
@@ -9,12 +9,20 @@
 
 namespace Onyxnotch {
 
+// A node held the duties in this life, last under this fence.
+struct LeftDuties {
+    std::uint64_t life { 0 };
+    std::uint64_t fence { 0 };
+
+    bool operator==(const LeftDuties&) const = default;
+};
+
 struct NodeSummary {
     std::uint64_t trueMilliseconds { 0 }; // Time of day as agreed between the nodes, when this was made.
     SteadyTime madeAt {};
     unsigned alivePeers { 0 };
     bool peerHoldsDuties { false };
-    std::map<std::string, std::uint64_t> leftDutiesFences {}; // Of peers that held the duties, and say that they do no more.
+    std::map<std::string, LeftDuties> leftDuties {}; // Of peers that held the duties, and say that they do no more.
     bool firstCandidate { true }; // No node that is alive and not leaving comes before this one.
     bool watchesStore { true }; // This node should follow the store itself.
     std::uint64_t peerEndpointsRevision { 0 }; // The highest of a peer that watches the store.
--- a/modules/duty/duty_runner.cpp
+++ b/modules/duty/duty_runner.cpp
@@ -91,9 +91,11 @@
     if (held == m_holds.load())
         return;
     logEvent(LogLevel::Info, held ? "duties_taken" : "duties_lost", { { "fence", m_lease.fence() } });
-    if (!held)
-        m_leftFence = m_lease.fence();
     m_holds = held;
+    if (held)
+        return;
+    m_leftFence = m_lease.fence();
+    m_lease.giveUp();
 }
 
 // This node's own orders, also those of an earlier life, lie more than a lease back.
@@ -133,9 +135,9 @@
             revision = read.value()->revision;
         }
         m_lease.observe(record, revision, sentAt, steadyNow());
-        auto left = record ? summary.leftDutiesFences.find(record->holder) : summary.leftDutiesFences.end();
-        if (left != summary.leftDutiesFences.end() && mayTakeAtOnce())
-            m_lease.holderGaveUp(left->first, left->second);
+        auto left = record ? summary.leftDuties.find(record->holder) : summary.leftDuties.end();
+        if (left != summary.leftDuties.end() && mayTakeAtOnce())
+            m_lease.holderGaveUp(left->first, left->second.life, left->second.fence);
     }
     if (auto write = m_lease.next(steadyNow()))
         co_await writeLease(*write);
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -278,11 +278,19 @@
               context, *store, StoreKind::Configuration, [this](const auto& objects, bool) { onConfigurations(objects); }, entryNode.m_options.follower)
         , endpoints(
               context, *store, StoreKind::Endpoints, [this](const auto& objects, bool) { onEndpoints(objects); }, entryNode.m_options.follower)
-        , duties(context, *store, *cloud, entryNode.m_view, entryNode.m_summary, entryNode.m_options.duties)
+        , duties(context, *store, *cloud, entryNode.m_view, entryNode.m_summary, dutyOptions(entryNode))
         , pages(context, entryNode.m_options.control, [this](const HttpHead& head) { return answerPage(head); })
     {
     }
 
+    // The lease tells which life of this node wrote it.
+    static DutyOptions dutyOptions(const EntryNode& entryNode)
+    {
+        auto options = entryNode.m_options.duties;
+        options.lease.life = entryNode.m_requests->lifetime;
+        return options;
+    }
+
     Status start()
     {
         auto started = pages.start();
--- a/modules/placement/lease.cpp
+++ b/modules/placement/lease.cpp
@@ -17,7 +17,7 @@
 
 std::string leaseToJson(const LeaseRecord& record)
 {
-    Json document { { "holder", record.holder }, { "fence", record.fence }, { "renewals", record.renewals } };
+    Json document { { "holder", record.holder }, { "fence", record.fence }, { "renewals", record.renewals }, { "life", record.life } };
     if (!record.note.empty())
         document["note"] = record.note;
     return document.dump();
@@ -30,6 +30,7 @@
             .holder = document.at("holder"),
             .fence = document.at("fence"),
             .renewals = document.at("renewals"),
+            .life = document.value("life", std::uint64_t(0)),
             .note = document.value("note", std::string()),
         };
     });
@@ -67,20 +68,25 @@
     if (!m_observed)
         return std::nullopt;
     if (!m_record)
-        return LeaseWrite { .kind = LeaseWriteKind::Create, .version = 0, .record = { .holder = m_self, .fence = 1, .renewals = 0 } };
+        return LeaseWrite { .kind = LeaseWriteKind::Create, .version = 0, .record = { .holder = m_self, .fence = 1, .renewals = 0, .life = m_options.life } };
     LeaseWrite write { .kind = LeaseWriteKind::Update, .version = m_version, .record = *m_record };
-    if (m_record->holder == m_self) {
+    bool ours = m_record->holder == m_self;
+    // Others may have been told that the fence is free: it is not used again.
+    bool gaveUp = ours && m_record->fence <= m_gaveUpFence;
+    if (ours && !gaveUp) {
         bool due = !m_held || now - m_renewedAt >= m_options.renewEvery;
         if (!due)
             return std::nullopt;
         ++write.record.renewals;
+        write.record.life = m_options.life;
         return write;
     }
-    bool released = m_record->holder.empty() || (m_record->holder == m_formerHolder && m_record->fence <= m_formerFence);
+    bool left = m_record->holder == m_formerHolder && m_record->life == m_formerLife && m_record->fence <= m_formerFence;
+    bool released = m_record->holder.empty() || left || gaveUp;
     bool lapsed = now - m_unchangedSince >= scaled(m_options.duration, 1 + m_options.clockRateBound);
     if (!released && !lapsed)
         return std::nullopt;
-    write.record = { .holder = m_self, .fence = m_record->fence + 1, .renewals = 0, .note = m_record->note };
+    write.record = { .holder = m_self, .fence = m_record->fence + 1, .renewals = 0, .life = m_options.life, .note = m_record->note };
     return write;
 }
 
@@ -106,9 +112,16 @@
     m_held = write.record.holder == m_self;
 }
 
-void LeaseMachine::holderGaveUp(const std::string& holder, std::uint64_t fence)
+void LeaseMachine::giveUp()
+{
+    m_held = false;
+    m_gaveUpFence = m_fence;
+}
+
+void LeaseMachine::holderGaveUp(const std::string& holder, std::uint64_t life, std::uint64_t fence)
 {
     m_formerHolder = holder;
+    m_formerLife = life;
     m_formerFence = fence;
 }
 
--- a/modules/placement/lease.h
+++ b/modules/placement/lease.h
@@ -16,6 +16,7 @@
     std::string holder {}; // Empty where it has been released.
     std::uint64_t fence { 0 }; // Rises by one with each new holder; orders carry it.
     std::uint64_t renewals { 0 };
+    std::uint64_t life { 0 }; // Of the process that wrote it; 0 where the holder tells none.
     std::string note {}; // What holders have decided and later ones must keep to; passed on from holder to holder.
 
     auto operator<=>(const LeaseRecord&) const = default;
@@ -29,6 +30,7 @@
     Milliseconds renewEvery { 3000 };
     // Others' clocks may run this much faster than ours, as a part; a holder stops that much early and a taker waits that much longer.
     double clockRateBound { 0.05 };
+    std::uint64_t life { 0 }; // Of this process: another one at each start.
 
     auto operator<=>(const LeaseOptions&) const = default;
 };
@@ -61,9 +63,11 @@
     std::optional<LeaseWrite> nextWithNote(const std::string& note, SteadyTime now) const;
     // The write was carried out. The lease counts from before it was sent.
     void written(const LeaseWrite&, std::uint64_t newVersion, SteadyTime sentAt);
+    // This process does nothing more under its fence, and tells others so: it takes the lease anew, under a higher one, if at all.
+    void giveUp();
     // A holder says itself that it holds the lease under this fence no more, and sends nothing under it: nobody need wait until it lapses.
-    // Where it has renewed it all the same, the condition of the write that takes it fails.
-    void holderGaveUp(const std::string& holder, std::uint64_t fence);
+    // Only as long as the lease is as that life of the holder wrote it; a renewal makes the write that takes it fail.
+    void holderGaveUp(const std::string& holder, std::uint64_t life, std::uint64_t fence);
     // The write failed or its answer was lost: the lease must be read before the next write.
     void forget();
 
@@ -87,7 +91,9 @@
     std::uint64_t m_fence { 0 };
     bool m_held { false };
     std::string m_formerHolder {}; // Has given the lease up,
+    std::uint64_t m_formerLife { 0 }; // in this life,
     std::uint64_t m_formerFence { 0 }; // under this fence.
+    std::uint64_t m_gaveUpFence { 0 }; // Of our own.
 };
 
 } // namespace Onyxnotch
--- a/tests/modules/control/test_node_summary.cpp
+++ b/tests/modules/control/test_node_summary.cpp
@@ -48,13 +48,14 @@
 BOOST_AUTO_TEST_CASE(a_fence_that_was_given_up_is_told)
 {
     auto lostThem = row("a");
+    lostThem.lifetime = 9;
     lostThem.leftDutiesFence = 3;
     auto regained = row("c");
     regained.leftDutiesFence = 2;
     regained.holdsDuties = true;
     auto summary = summarizePeers({ &lostThem, &regained }, owner);
-    BOOST_TEST(summary.leftDutiesFences.size() == 1U);
-    BOOST_TEST(summary.leftDutiesFences["a"] == 3U);
+    BOOST_TEST(summary.leftDuties.size() == 1U);
+    BOOST_TEST((summary.leftDuties["a"] == LeftDuties { .life = 9, .fence = 3 }));
     BOOST_TEST(summary.peerHoldsDuties);
 }
 
--- a/tests/modules/placement/test_lease.cpp
+++ b/tests/modules/placement/test_lease.cpp
@@ -76,20 +76,40 @@
 {
     auto now = SteadyTime();
     LeaseMachine machine("b", { .duration = Milliseconds(1000) });
-    LeaseRecord record { .holder = "a", .fence = 3 };
+    LeaseRecord record { .holder = "a", .fence = 3, .life = 5 };
     machine.observe(record, 7, now, now);
     BOOST_TEST(!machine.next(now).has_value());
-    machine.holderGaveUp("a", 2);
+    machine.holderGaveUp("a", 5, 2);
     BOOST_TEST(!machine.next(now).has_value());
-    machine.holderGaveUp("c", 3);
+    machine.holderGaveUp("c", 5, 3);
     BOOST_TEST(!machine.next(now).has_value());
-    machine.holderGaveUp("a", 3);
+    // An earlier life said so; a later one has renewed the lease since.
+    machine.holderGaveUp("a", 4, 3);
+    BOOST_TEST(!machine.next(now).has_value());
+    machine.holderGaveUp("a", 5, 3);
     auto wanted = machine.next(now);
     BOOST_REQUIRE(wanted.has_value());
     BOOST_TEST(wanted->record.fence == 4U);
     BOOST_TEST(wanted->version == 7U);
 }
 
+// Found by reading: others may take a fence that was given up, so its holder must not go on under it.
+BOOST_AUTO_TEST_CASE(who_gave_up_takes_the_lease_under_a_higher_fence)
+{
+    auto now = SteadyTime();
+    LeaseMachine machine("a", { .duration = Milliseconds(1000) });
+    machine.observe(std::nullopt, 0, now, now);
+    auto taken = machine.next(now);
+    BOOST_REQUIRE(taken.has_value());
+    machine.written(*taken, 1, now);
+    machine.giveUp();
+    BOOST_TEST(!machine.holds(now));
+    auto again = machine.next(now);
+    BOOST_REQUIRE(again.has_value());
+    BOOST_TEST(again->record.fence == taken->record.fence + 1);
+    BOOST_TEST(again->version == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_paused_holder_finds_that_its_lease_has_lapsed)
 {
     LeaseMachine machine("a", { .duration = Milliseconds(1000) });
