--- a/tests/modules/control/test_node_summary.cpp
+++ b/tests/modules/control/test_node_summary.cpp
@@ -13,6 +13,7 @@
 bool isFirst(const std::vector<PeerRow>& rows, const SummaryOwner& self = owner)
 {
     std::vector<const PeerRow*> alive;
+    alive.reserve(rows.size());
     for (const auto& it : rows)
         alive.push_back(&it);
     return summarizePeers(alive, self).firstCandidate;
