--- a/misc/what_binds.py
+++ b/misc/what_binds.py
@@ -36,6 +36,7 @@
     "worth broken off early": "broken off",
 }
 MOMENT_SECONDS = 4
+SERVED = ("answered", "streamed")  # Outcomes of whole answers in the entry's log.
 LOG_LINE = re.compile(r"^\s*(-?[\d.]+) (\S+) (\{.*\})$")
 
 
@@ -76,8 +77,9 @@
         if not match or '"event":"request"' not in line:
             continue
         entry = json.loads(match.group(3))
-        late = entry["outcome"] == "answered" and max(entry["first_event_ms"], entry["ms"] if entry["first_event_ms"] < 0 else 0) > entry["objective_ms"]
-        if entry["outcome"] == "answered" and not late:
+        served = entry["outcome"] in SERVED
+        late = served and (entry["first_event_ms"] if entry["first_event_ms"] >= 0 else entry["ms"]) > entry["objective_ms"]
+        if served and not late:
             continue
         key = ("late" if late else entry["outcome"]) + " | " + (entry["route"] or "-")
         row = lost.setdefault(key, {"count": 0, "example": entry["request_id"], "moments": collections.Counter()})
@@ -90,9 +92,14 @@
     return statistics.fmean(values) if values else 0.0
 
 
+def changes(runs, before):
+    """The change of worth, seed by seed: both lists are in the order of the seeds, and a seed that only one has is left out."""
+    return [now["worth"] - then["worth"] for now, then in zip(runs, before or [])]
+
+
 def print_day(day, runs, before):
     worths = [it["worth"] for it in runs]
-    change = f", change {mean(worths) - mean([it['worth'] for it in before]):+.3f}" if before else ""
+    change = f", change {mean(changes(runs, before)):+.3f}" if before else ""
     print(f"{day}: worth {mean(worths):.3f} ({min(worths):.3f} to {max(worths):.3f}, {len(worths)} seeds{change}), served {mean([it['served'] for it in runs]):.3f}")
     print("   parts   " + ", ".join(f"{name} {mean([it['parts'][name] for it in runs]):.3f}" for name in runs[0]["parts"]))
     names = sorted({name for it in runs for name in it["prices"]}, key=lambda name: -mean([it["prices"].get(name, 0) for it in runs]))
@@ -141,8 +148,8 @@
     troubled = [day for day in days if not day.startswith("quiet")]
     if troubled:
         means = mean([it["worth"] for day in troubled for it in runs[day]])
-        earlier = [it["worth"] for day in troubled for it in before.get(day, [])]
-        print(f"days with trouble: mean worth {means:.3f}" + (f", change {means - mean(earlier):+.3f}" if earlier else ""))
+        paired = [it for day in troubled for it in changes(runs[day], before.get(day))]
+        print(f"days with trouble: mean worth {means:.3f}" + (f", change {mean(paired):+.3f} over {len(paired)} plays" if paired else ""))
     if options.save:
         pathlib.Path(options.save).write_text(json.dumps(runs, indent=1))
 
--- a/modules/balance/endpoint_choice.cpp
+++ b/modules/balance/endpoint_choice.cpp
@@ -27,7 +27,7 @@
         std::uint64_t rank { 0 };
         bool comfortable { false };
     };
-    // Prompts that differ by less than a block of an engine's memory are read alike.
+    // A difference this small is within the error of what is taken to be cached.
     constexpr double sameTokens = 64;
     auto isBetter = [](const Rated& left, const Rated& right) {
         if (left.comfortable != right.comfortable)
--- a/modules/duty/endpoint_scaler.h
+++ b/modules/duty/endpoint_scaler.h
@@ -19,7 +19,7 @@
     double prefillPart { 0.45 }; // Of an engine's time that prefill may take, so that a long prompt still begins in time.
     double slotsPart { 0.6 }; // Of an endpoint's slots that streams may hold on average: arrivals come in bursts.
     // What a missing endpoint loses, in units of the on-demand price of one for the same time: what it serves is worth some times what it
-    // costs, and a shortage counts more than its time. docs/DECISIONS.md tells the measurement.
+    // costs, and a shortage counts more than its time. Argued from two users' prices in docs/DECISIONS.md, not varied in a measurement.
     double workValue { 8 };
     double initialPart { 0.7 }; // Of the endpoints found at the start, until demand is known: engines that are new have read no prefix.
     Milliseconds demandKnownAfter { 4000 }; // Since the first request: the average has risen, and prefixes have been asked for.
