Read each message of a peer by its type once, and refuse prompts of no possible size

Found by reading: each row was unpacked as two other messages first, with two errors made and dropped; a notice that could not be read was told as a row of the wrong type; and a time was worked out from any number that a datagram held, which for some is undefined. The test of the sizes fails without the check. Decisions are as before.

--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -1,7 +1,6 @@
 #include "modules/peers/peer_exchange.h"
 
 #include "core/log.h"
-#include "core/net/frame.h"
 #include <algorithm>
 
 namespace Onyxnotch {
@@ -56,26 +55,42 @@
     auto frame = decodeFrame(std::string_view(m_buffer.data(), size));
     if (!frame)
         return;
-    if (auto notice = unpackMessage<PrefillNotice>(MessageType::PrefillNotice, frame.value())) {
-        m_noticeReceiver(notice.value());
-        return;
+    auto taken = takeMessage(frame.value());
+    if (!taken)
+        logEvent(LogLevel::Warning, "peer_message_refused", { { "error", taken.error().message } });
+}
+
+Status PeerExchange::takeMessage(const Frame& frame)
+{
+    switch (frame.type) {
+    case MessageType::PrefillNotice: {
+        BOOST_OUTCOME_TRY(notice, unpackMessage<PrefillNotice>(frame.type, frame));
+        if (!notice.isSound())
+            return Error { ErrorCode::InvalidArgument, "a prompt of a size that none can have" };
+        m_noticeReceiver(notice);
+        return success();
     }
-    if (auto usage = unpackMessage<UsageNotice>(MessageType::UsageNotice, frame.value())) {
-        m_table.applyUsage(usage.value(), steadyNow());
-        return;
+    case MessageType::UsageNotice: {
+        BOOST_OUTCOME_TRY(usage, unpackMessage<UsageNotice>(frame.type, frame));
+        m_table.applyUsage(usage, steadyNow());
+        return success();
+    }
+    default: {
+        BOOST_OUTCOME_TRY(message, unpackMessage<PeerMessage>(MessageType::PeerRow, frame));
+        takeRow(message);
+        return success();
     }
-    auto message = unpackMessage<PeerMessage>(MessageType::PeerRow, frame.value());
-    if (!message) {
-        logEvent(LogLevel::Warning, "peer_message_refused", { { "error", message.error().message } });
-        return;
     }
+}
+
+void PeerExchange::takeRow(const PeerMessage& message)
+{
     auto now = steadyNow();
-    for (const auto& it : message.value().contacts)
+    for (const auto& it : message.contacts)
         m_table.addContact(it, now);
-    const auto& row = message.value().row;
-    bool newLife = !m_table.hasHeard(row.node, row.lifetime);
-    if (m_table.apply(row, now))
-        m_receiver(row, newLife);
+    bool newLife = !m_table.hasHeard(message.row.node, message.row.lifetime);
+    if (m_table.apply(message.row, now))
+        m_receiver(message.row, newLife);
 }
 
 void PeerExchange::addContact(const PeerContact& contact) { m_table.addContact(contact, steadyNow()); }
--- a/modules/peers/peer_exchange.h
+++ b/modules/peers/peer_exchange.h
@@ -3,6 +3,7 @@
 
 #include "core/clock.h"
 #include "core/net/address.h"
+#include "core/net/frame.h"
 #include "core/outcome.h"
 #include "modules/peers/peer_table.h"
 #include <array>
@@ -55,6 +56,8 @@
 private:
     void receive();
     void onDatagram(std::size_t size);
+    Status takeMessage(const Frame&);
+    void takeRow(const PeerMessage&);
     std::vector<Address> receivers();
     void addSome(std::vector<PeerContact> contacts, std::size_t most, std::vector<Address>& addresses);
     std::vector<PeerContact> someContacts();
--- a/modules/peers/peer_row.h
+++ b/modules/peers/peer_row.h
@@ -107,6 +107,13 @@
 
     bool operator==(const PrefillNotice&) const = default;
 
+    // A number that a prompt can have: no engine's memory holds more tokens, and a time is worked out from it.
+    bool isSound() const
+    {
+        constexpr double mostTokens = 1e8;
+        return tokens >= 0 && tokens <= mostTokens;
+    }
+
     template <class Archive>
     void serialize(Archive& archive) { archive(endpoint, tokens); }
 };
--- a/tests/modules/peers/test_peer_table.cpp
+++ b/tests/modules/peers/test_peer_table.cpp
@@ -1,6 +1,7 @@
 #include "modules/peers/peer_table.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace Onyxnotch;
 
@@ -75,4 +76,12 @@
     BOOST_TEST(PeerTable("alone").clockDifference(5, at(0)) == 5);
 }
 
+// Found by reading: a time is worked out from what a datagram says, and not every number gives one.
+BOOST_AUTO_TEST_CASE(a_prompt_of_no_possible_size_is_refused)
+{
+    BOOST_TEST((PrefillNotice { .endpoint = "i", .tokens = 54600 }.isSound()));
+    for (double tokens : { -1.0, 1e30, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN() })
+        BOOST_TEST(!(PrefillNotice { .endpoint = "i", .tokens = tokens }.isSound()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
