Tell a member that it is taken for dead, also when that is old news

Cause: news of a death is sent 3 log2(members) times and then dropped. A node that could not be reached meanwhile is never told, so it never raises its revision; its probes are acknowledged, but its messages of the old revision do not supersede the death, and a confirmed probe brings back a suspect only, not a dead member. Ruled out: probes of dead members, one in eight rounds, do come. Change: an acknowledgement or probe to a member that is taken for suspect or dead says so.

--- a/servers/membership/membership_probes.cpp
+++ b/servers/membership/membership_probes.cpp
@@ -117,6 +117,16 @@
     };
 }
 
+// Only the member itself can say that it lives, and the news of its death may have been sent as often as news are while it was cut off.
+void MembershipServer::Implementation::addStandingLocked(GossipMessage& message, const std::string& receiver) const
+{
+    auto standing = table.find(receiver);
+    if (!standing || standing->state == MemberState::Alive)
+        return;
+    std::erase_if(message.members, [&](const Member& it) { return it.node == receiver; });
+    message.members.push_back(*standing);
+}
+
 void MembershipServer::Implementation::send(const Address& address, MessageType type, const GossipMessage& message)
 {
     auto frame = packMessage(type, message);
@@ -178,6 +188,7 @@
     {
         std::lock_guard lock(mutex);
         answer = messageLocked(message.sequence, false);
+        addStandingLocked(answer, message.sender.node);
     }
     send(message.sender.gossipAddress(), MessageType::GossipAcknowledgement, answer);
 }
@@ -292,7 +303,9 @@
         if (!member || !worthProbing(*member))
             continue;
         probe = Probe { .sequence = nextSequence++, .node = member->node, .incarnation = member->incarnation, .sentAt = now };
-        return std::make_pair(member->gossipAddress(), messageLocked(probe->sequence, true));
+        auto message = messageLocked(probe->sequence, true);
+        addStandingLocked(message, member->node);
+        return std::make_pair(member->gossipAddress(), std::move(message));
     }
     for (const auto& it : othersLocked(true))
         round.push_back(it.node);
--- a/servers/membership/membership_state.h
+++ b/servers/membership/membership_state.h
@@ -42,6 +42,8 @@
     bool takeSuccessionLocked(const Succession& succession);
 
     GossipMessage messageLocked(std::uint64_t sequence, bool acknowledgementWanted);
+    // Tells the receiver that it is taken for suspect or dead, where it is.
+    void addStandingLocked(GossipMessage& message, const std::string& receiver) const;
     void send(const Address& address, MessageType type, const GossipMessage& message);
     void receive(const Frame& frame);
     void takeMessage(const GossipMessage& message);
