Leave the next holder of the duties what was ordered and how many were needed

Cause: nothing can be read back from the platform, so a new holder knew listed endpoints only. The lease's note now holds the orders taken, what was needed and whether the market was dry. Kept: the test fails without it, and a shortage no longer loses what was ordered.

--- a/modules/duty/duty_runner.cpp
+++ b/modules/duty/duty_runner.cpp
@@ -68,20 +68,26 @@
         m_adopted = false;
         co_return;
     }
-    if (!m_adopted) {
-        auto report = m_lease.note().empty() ? Result<UsageReport>(UsageReport {}) : usageReportFromJson(m_lease.note());
-        if (!report)
-            logEvent(LogLevel::Error, "lease_note_refused", { { "error", report.error().message } });
-        m_reports.adopt(report && !m_lease.note().empty() ? std::optional(report.value()) : std::nullopt);
-        m_scaler = EndpointScaler(m_options.scaler);
-        m_adopted = true;
-    }
+    if (!m_adopted)
+        adoptNote();
     if (m_options.reportsUsage)
         co_await reportUsage(*summary);
     if (m_options.ordersEndpoints)
         co_await orderEndpoints(*summary);
 }
 
+void DutyRunner::adoptNote()
+{
+    auto note = dutyNoteFromJson(m_lease.note());
+    if (!note)
+        logEvent(LogLevel::Error, "lease_note_refused", { { "error", note.error().message } });
+    m_note = note ? note.value() : DutyNote {};
+    m_reports.adopt(m_note.report);
+    m_scaler = EndpointScaler(m_options.scaler);
+    m_scaler.adopt(m_note.scaling, steadyNow());
+    m_adopted = true;
+}
+
 // No call is open here: a step has ended before the next one begins.
 void DutyRunner::noteHolding()
 {
@@ -170,16 +176,26 @@
         m_lease.observe(decoded.value(), read.value()->revision, sentAt, steadyNow());
 }
 
+asio::awaitable<bool> DutyRunner::writeNote(const DutyNote& note)
+{
+    auto write = m_lease.nextWithNote(dutyNoteToJson(note), steadyNow());
+    if (!write)
+        co_return false;
+    co_await writeLease(*write);
+    if (m_lease.note() != write->record.note)
+        co_return false;
+    m_note = note;
+    co_return true;
+}
+
 bool DutyRunner::mayCall() const { return m_lease.left(steadyNow()) > dutyCallTimeout; }
 
 asio::awaitable<void> DutyRunner::reportUsage(const NodeSummary& summary)
 {
     if (auto report = m_reports.due(summary.usage, trueNow(summary))) {
-        auto write = m_lease.nextWithNote(usageReportToJson(*report), steadyNow());
-        if (!write)
-            co_return;
-        co_await writeLease(*write);
-        if (m_lease.note() != write->record.note)
+        auto note = m_note;
+        note.report = report;
+        if (!co_await writeNote(note))
             co_return;
         m_reports.decided(*report);
     }
@@ -204,9 +220,10 @@
     auto orders = m_scaler.orders(*configuration, *endpoints, summary.demand, steadyNow());
     for (const auto& it : m_scaler.takeDecisions())
         writeDecision(it);
+    bool anyTaken = false;
     for (const auto& order : orders) {
         if (!mayCall())
-            co_return;
+            break;
         auto as = authority();
         auto taken = co_await m_cloud.order(as, order);
         logEvent(LogLevel::Info, "endpoints_ordered",
@@ -216,7 +233,13 @@
             m_scaler.ordered(order, steadyNow());
         else if (taken.error().code == ErrorCode::Exhausted)
             m_scaler.refused(order, steadyNow());
+        anyTaken |= taken.has_value();
     }
+    if (!anyTaken)
+        co_return;
+    auto note = m_note;
+    note.scaling = m_scaler.memory(steadyNow());
+    co_await writeNote(note);
 }
 
 } // namespace Onyxnotch
--- a/modules/duty/duty_runner.h
+++ b/modules/duty/duty_runner.h
@@ -3,8 +3,7 @@
 
 #include "modules/control/node_summary.h"
 #include "modules/control/object_store.h"
-#include "modules/duty/endpoint_scaler.h"
-#include "modules/duty/usage_reports.h"
+#include "modules/duty/duty_note.h"
 #include "modules/placement/lease.h"
 #include "modules/traffic/traffic_view.h"
 #include <asio/io_context.hpp>
@@ -45,6 +44,9 @@
     asio::awaitable<void> step();
     asio::awaitable<void> keepLease(const NodeSummary&);
     asio::awaitable<void> writeLease(const LeaseWrite&);
+    // False where the note does not stand in the lease for certain.
+    asio::awaitable<bool> writeNote(const DutyNote&);
+    void adoptNote();
     asio::awaitable<void> reportUsage(const NodeSummary&);
     asio::awaitable<void> orderEndpoints(const NodeSummary&);
     void noteHolding();
@@ -59,6 +61,7 @@
     NodeSummarySlot& m_summary;
     DutyOptions m_options;
     LeaseMachine m_lease;
+    DutyNote m_note {}; // As it stands in the lease.
     UsageReports m_reports;
     EndpointScaler m_scaler;
     SteadyTime m_startedAt;
--- a/modules/duty/endpoint_scaler.cpp
+++ b/modules/duty/endpoint_scaler.cpp
@@ -21,6 +21,55 @@
 {
 }
 
+EndpointScaler::ServiceState EndpointScaler::freshState(SteadyTime now) const
+{
+    ServiceState state;
+    state.outlook = ReclaimOutlook(m_options.outlook);
+    state.listGrewAt = now;
+    return state;
+}
+
+std::vector<ScaleMemory> EndpointScaler::memory(SteadyTime now) const
+{
+    std::vector<ScaleMemory> memories;
+    for (const auto& [name, state] : m_services) {
+        ScaleMemory memory { .service = name, .needed = state.needed, .dry = isDry(state, now) };
+        for (const auto& [subject, given] : m_given) {
+            if (subject.service != name)
+                continue;
+            memory.orders.push_back(subject);
+            memory.orders.back().endpoints = given.endpoints;
+        }
+        memories.push_back(std::move(memory));
+    }
+    return memories;
+}
+
+void EndpointScaler::adopt(const std::vector<ScaleMemory>& memories, SteadyTime now)
+{
+    for (const auto& memory : memories) {
+        if (memory.needed == 0)
+            continue;
+        auto state = freshState(now);
+        state.needed = memory.needed;
+        state.floor = memory.needed;
+        state.floorUntil = now + m_options.lowerAfter;
+        state.takenOver = true;
+        state.demandSeen = true;
+        state.lastingPlanned = true;
+        if (memory.dry)
+            noteRefusal(state, now);
+        for (const auto& order : memory.orders) {
+            auto& zone = state.zones[order.zone];
+            (order.reclaimable ? zone.reclaimableOrdered : zone.lastingOrdered) = order.endpoints;
+            // They may have been ordered just before.
+            zone.reclaimableOrderedAt = now;
+            m_given[subjectOf(order)] = { .endpoints = order.endpoints, .at = now };
+        }
+        m_services.insert_or_assign(memory.service, std::move(state));
+    }
+}
+
 void EndpointScaler::readList(const TrafficService& service, const EndpointList& list, ServiceState& state, SteadyTime now)
 {
     for (const auto& [zone, price] : service.scaling->zonePrices) {
@@ -218,12 +267,7 @@
     for (const auto& service : configuration.declaration().services) {
         if (!service.scaling || service.scaling->zonePrices.empty())
             continue;
-        auto [known, isNew] = m_services.try_emplace(service.name);
-        auto& state = known->second;
-        if (isNew) {
-            state.outlook = ReclaimOutlook(m_options.outlook);
-            state.listGrewAt = now;
-        }
+        auto& state = m_services.try_emplace(service.name, freshState(now)).first->second;
         auto found = demand.find(service.name);
         readList(service, list, state, now);
         updateNeeded(found == demand.end() ? ServiceDemand {} : found->second, state, now);
--- a/modules/duty/endpoint_scaler.h
+++ b/modules/duty/endpoint_scaler.h
@@ -55,6 +55,17 @@
     }
 };
 
+// What the next holder of the duties has to know of a service: what was ordered is not all listed yet, and demand over the last while is
+// known to nobody else.
+struct ScaleMemory {
+    std::string service {};
+    unsigned needed { 0 };
+    bool dry { false };
+    std::vector<ScaleOrder> orders {}; // That were taken, the last of each zone and kind.
+
+    bool operator==(const ScaleMemory&) const = default;
+};
+
 // The largest of the values of the last while.
 class RecentMost {
 public:
@@ -89,6 +100,10 @@
     // The order was taken, or there were none to be had.
     void ordered(const ScaleOrder&, SteadyTime now);
     void refused(const ScaleOrder&, SteadyTime now);
+    // For the next holder.
+    std::vector<ScaleMemory> memory(SteadyTime now) const;
+    // Goes on from what an earlier holder left. Call before anything else.
+    void adopt(const std::vector<ScaleMemory>&, SteadyTime now);
 
 private:
     // Of one service in one availability zone.
@@ -124,6 +139,7 @@
         SteadyTime at {};
     };
 
+    ServiceState freshState(SteadyTime now) const;
     void readList(const TrafficService&, const EndpointList&, ServiceState&, SteadyTime now);
     void noteLeaving(const std::map<std::string, unsigned>& leavingByZone, ServiceState&, SteadyTime now);
     void updateFloor(const ServiceDemand&, ServiceState&, SteadyTime now);
--- a/tests/modules/duty/test_endpoint_scaler.cpp
+++ b/tests/modules/duty/test_endpoint_scaler.cpp
@@ -253,4 +253,38 @@
     }
 }
 
+// Found by the bench: the holder changed in a shortage, and what its predecessor had ordered was booting and not listed. The new one
+// ordered fewer, and they were gone.
+BOOST_AUTO_TEST_CASE(a_new_holder_that_is_told_keeps_what_is_booting)
+{
+    Market market;
+    market.demand["s"] = { .requestsPerSecond = 50, .running = 40, .busyEngines = 3.75 };
+    for (int now = 0; now < 20000; now += 250)
+        market.step(at(now));
+    market.dry = true;
+    for (const auto* zone : { "a", "b", "c" })
+        market.reclaim(zone);
+    std::map<std::pair<std::string, bool>, unsigned> standing;
+    for (int now = 20000; now < 21000; now += 250) {
+        for (const auto& order : market.scaler.orders(market.configuration, market.list, market.demand, at(now))) {
+            if (order.reclaimable) {
+                market.scaler.refused(order, at(now));
+                continue;
+            }
+            market.scaler.ordered(order, at(now));
+            standing[{ order.zone, false }] = order.endpoints;
+        }
+    }
+    BOOST_REQUIRE(!standing.empty());
+    EndpointScaler successor;
+    successor.adopt(market.scaler.memory(at(21000)), at(23000));
+    for (int now = 23000; now < 25000; now += 250) {
+        for (const auto& order : successor.orders(market.configuration, market.list, market.demand, at(now))) {
+            auto before = standing.find({ order.zone, order.reclaimable });
+            if (before != standing.end())
+                BOOST_TEST(order.endpoints >= before->second);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
