Let a new holder of the duties hear the nodes before it decides on usage

Ruled out: lost rows; the third report was right each time. A report is decided 4.5 s after the duties came, or 1.5 s before it is due, whichever is first.

--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -50,6 +50,7 @@
         "graceSeconds": { "type": "number", "minimum": 0.5, "default": 8, "description": "Time from the stop signal to the kill." },
         "leaseMs": { "type": "number", "minimum": 500, "default": 3000, "description": "How long a duty's lease holds without a renewal." },
         "startWaitMs": { "type": "integer", "minimum": 0, "default": 100, "description": "How long callers wait, after the start, for the configuration and the endpoints to be read, before they are refused." },
+        "usageDueSeconds": { "type": "number", "minimum": 2, "default": 10, "description": "Time after a window's end in which its usage report is due." },
         "usageWindowSeconds": { "type": "number", "minimum": 0.1, "default": 5, "description": "Length of a window of the usage reports." },
         "logLevel": { "enum": ["debug", "info", "warning", "error"], "default": "info", "description": "Least level that is logged." }
     }
@@ -110,6 +111,7 @@
         // Three renewals in a lease: one lost call does not cost the duty.
         entry.duties.lease = { .duration = lease, .renewEvery = lease / 3 };
         entry.duties.usage.windowMilliseconds = entry.forward.usageWindowMilliseconds;
+        entry.duties.usage.dueMilliseconds = static_cast<std::uint64_t>(secondsOf(document["usageDueSeconds"]).count());
         auto duties = document["duties"].get<std::vector<std::string>>();
         entry.duties.reportsUsage = hasCloud && Platform::namesUsageReports(duties);
         entry.duties.ordersEndpoints = hasCloud && Platform::namesEndpointOrders(duties);
--- a/modules/duty/duty_runner.cpp
+++ b/modules/duty/duty_runner.cpp
@@ -69,20 +69,20 @@
         co_return;
     }
     if (!m_adopted)
-        adoptNote();
+        adoptNote(*summary);
     if (m_options.reportsUsage)
         co_await reportUsage(*summary);
     if (m_options.ordersEndpoints)
         co_await orderEndpoints(*summary);
 }
 
-void DutyRunner::adoptNote()
+void DutyRunner::adoptNote(const NodeSummary& summary)
 {
     auto note = dutyNoteFromJson(m_lease.note());
     if (!note)
         logEvent(LogLevel::Error, "lease_note_refused", { { "error", note.error().message } });
     m_note = note ? note.value() : DutyNote {};
-    m_reports.adopt(m_note.report);
+    m_reports.adopt(m_note.report, trueNow(summary));
     m_scaler = EndpointScaler(m_options.scaler);
     m_scaler.adopt(m_note.scaling, steadyNow());
     m_adopted = true;
@@ -206,7 +206,8 @@
     auto sent = co_await m_cloud.reportUsage(as, report.window, report.counts);
     logEvent(LogLevel::Info, "usage_reported", { { "window", report.window }, { "fence", m_lease.fence() }, { "result", sent ? "taken" : sent.error().message } });
     auto endedAt = (report.window + 1) * m_options.usage.windowMilliseconds;
-    bool late = trueNow(summary) > endedAt + static_cast<std::uint64_t>(m_options.usageGivenUpAfter.count());
+    // Twice the time in which it is due: a report that is late may still be wanted, one that is that late is not.
+    bool late = trueNow(summary) > endedAt + 2 * m_options.usage.dueMilliseconds;
     if (sent || late)
         m_reports.sent();
 }
--- a/modules/duty/duty_runner.h
+++ b/modules/duty/duty_runner.h
@@ -18,7 +18,6 @@
     Milliseconds step { 250 };
     Milliseconds startDelay { 1000 }; // After the start, to hear from a node that has the duties.
     Milliseconds secondCandidateAfter { 4000 }; // For how long the first candidate may leave the duties undone.
-    Milliseconds usageGivenUpAfter { 20000 }; // After its window: twice the time in which a report is due.
     bool reportsUsage { true };
     bool ordersEndpoints { true };
 };
@@ -46,7 +45,7 @@
     asio::awaitable<void> writeLease(const LeaseWrite&);
     // False where the note does not stand in the lease for certain.
     asio::awaitable<bool> writeNote(const DutyNote&);
-    void adoptNote();
+    void adoptNote(const NodeSummary&);
     asio::awaitable<void> reportUsage(const NodeSummary&);
     asio::awaitable<void> orderEndpoints(const NodeSummary&);
     void noteHolding();
--- a/modules/duty/usage_reports.cpp
+++ b/modules/duty/usage_reports.cpp
@@ -1,6 +1,7 @@
 #include "modules/duty/usage_reports.h"
 
 #include "core/json_decode.h"
+#include <algorithm>
 
 namespace Onyxnotch {
 
@@ -15,8 +16,9 @@
     });
 }
 
-void UsageReports::adopt(const std::optional<UsageReport>& report)
+void UsageReports::adopt(const std::optional<UsageReport>& report, std::uint64_t trueMilliseconds)
 {
+    m_gatheredAt = trueMilliseconds + m_options.gatherMilliseconds;
     m_toSend = report;
     m_lastWindow = report ? std::optional(report->window) : std::nullopt;
 }
@@ -28,8 +30,10 @@
     for (const auto& [window, counts] : usage) {
         if (m_lastWindow && window <= *m_lastWindow)
             continue;
-        auto settledAt = (window + 1) * m_options.windowMilliseconds + m_options.settleMilliseconds;
-        return trueMilliseconds >= settledAt ? std::optional(UsageReport { .window = window, .counts = counts }) : std::nullopt;
+        auto end = (window + 1) * m_options.windowMilliseconds;
+        auto latest = end + m_options.dueMilliseconds - m_options.dueMarginMilliseconds;
+        auto decidedAt = std::max(end + m_options.settleMilliseconds, std::min(m_gatheredAt, latest));
+        return trueMilliseconds >= decidedAt ? std::optional(UsageReport { .window = window, .counts = counts }) : std::nullopt;
     }
     return std::nullopt;
 }
--- a/modules/duty/usage_reports.h
+++ b/modules/duty/usage_reports.h
@@ -23,6 +23,11 @@
     std::uint64_t windowMilliseconds { 5000 };
     // After a window's end, until the counts of all nodes have come: each tells the holder once a second at least.
     std::uint64_t settleMilliseconds { 1500 };
+    // A new holder has not heard the counts: the nodes learn of it by its rows, and then tell it all that they have three times, once a
+    // second. In a fleet of a hundred that takes this long.
+    std::uint64_t gatherMilliseconds { 4500 };
+    std::uint64_t dueMilliseconds { 10000 }; // After a window's end its report is late,
+    std::uint64_t dueMarginMilliseconds { 1500 }; // and this much earlier it is decided, whatever has been heard.
 
     auto operator<=>(const UsageReportsOptions&) const = default;
 };
@@ -37,7 +42,7 @@
     auto operator<=>(const UsageReports&) const = default;
 
     // The report that stands in the lease, from this holder or an earlier one. It is sent again: nobody knows whether it arrived.
-    void adopt(const std::optional<UsageReport>&);
+    void adopt(const std::optional<UsageReport>&, std::uint64_t trueMilliseconds);
     // The next report to decide on. Empty while one is decided and not sent, or none is due.
     std::optional<UsageReport> due(const WindowCounts&, std::uint64_t trueMilliseconds) const;
     // It stands in the lease now.
@@ -51,6 +56,7 @@
     UsageReportsOptions m_options;
     std::optional<UsageReport> m_toSend {};
     std::optional<std::uint64_t> m_lastWindow {}; // That was decided.
+    std::uint64_t m_gatheredAt { 0 }; // The time of day by which all counts should have been heard.
 };
 
 } // namespace Onyxnotch
--- a/tests/modules/duty/test_duty_model.cpp
+++ b/tests/modules/duty/test_duty_model.cpp
@@ -109,7 +109,7 @@
 
     static Node freshNode(std::size_t n)
     {
-        return { .lease = LeaseMachine(nameOf(n), { .duration = leaseTime, .renewEvery = leaseTime / 3 }), .reports = UsageReports({ .windowMilliseconds = 1, .settleMilliseconds = 0 }) };
+        return { .lease = LeaseMachine(nameOf(n), { .duration = leaseTime, .renewEvery = leaseTime / 3 }), .reports = UsageReports({ .windowMilliseconds = 1, .settleMilliseconds = 0, .gatherMilliseconds = 0 }) };
     }
 
     // The nodes have not heard the same.
@@ -212,7 +212,7 @@
         if (node.adopted)
             return;
         auto report = node.lease.note().empty() ? std::nullopt : std::optional(usageReportFromJson(node.lease.note()).value());
-        node.reports.adopt(m_planted == Planted::NoAdoption ? std::nullopt : report);
+        node.reports.adopt(m_planted == Planted::NoAdoption ? std::nullopt : report, 0);
         node.adopted = true;
     }
 
