Refuse by the wait alone, and only by times that this node has seen

Hypothesis: where prompts and not slots are short, less than half of the places are taken while everything waits, so the condition on places kept late what had better been refused.

--- a/modules/admission/deadline_admission.cpp
+++ b/modules/admission/deadline_admission.cpp
@@ -6,8 +6,6 @@
 
 bool canBeOnTime(const DeadlineRequest& request, const DeadlineAdmissionOptions& options)
 {
-    if (request.inFlight < request.slots * options.busyPart)
-        return true;
     auto wait = request.expectedSeconds - request.unqueuedSeconds;
     auto spare = std::max(request.objectiveSeconds - request.unqueuedSeconds, request.objectiveSeconds * options.leastWaitPart);
     if (request.moreUrgent > 0)
--- a/modules/admission/deadline_admission.h
+++ b/modules/admission/deadline_admission.h
@@ -1,15 +1,13 @@
 // Whether a request is taken now, where its service has more to do than it can do in time: a pure decision.
 //
 // While a service is short of endpoints, taking everything makes everything late. So what would wait too long is refused at once, and the
-// less urgent a request is, the less it may wait: then the endpoints never have a backlog that makes the more urgent ones late.
+// less urgent a request is, the less it may wait: then the endpoints never have a backlog that makes the more urgent ones late. Where
+// nothing waits at the best endpoint, everything is taken.
 #pragma once
 
 namespace Onyxnotch {
 
 struct DeadlineAdmissionOptions {
-    // Of its places that a service must have taken before any request is refused: below, there is room, and a request that is late is
-    // better than none.
-    double busyPart { 0.5 };
     // Of its objective that a request may wait, also where its own prompt leaves less: its answer will be late, and is worth something.
     double leastWaitPart { 0.25 };
 };
@@ -20,8 +18,6 @@
     double objectiveSeconds { 0 }; // What is left of it.
     unsigned moreUrgent { 0 }; // Kinds of request that the service also has and that are more urgent than this one,
     double moreUrgentObjectiveSeconds { 0 }; // and the shortest objective of them; without any, not looked at.
-    double inFlight { 0 }; // At all endpoints of the service that may be used,
-    double slots { 0 }; // and the places that they have.
 };
 
 // False where it should be refused.
--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -94,8 +94,6 @@
         wanted.sharedTokens += request.parts[n].tokens;
     std::vector<ChoiceCandidate> candidates;
     candidates.reserve(usable.size());
-    double inFlight = 0;
-    double slots = 0;
     for (const auto& it : usable) {
         candidates.push_back({
             .slots = it->listed.slots,
@@ -105,8 +103,6 @@
             .rank = mixHash(hashText(it->listed.id), key),
             .sameZone = it->listed.zone == m_zone,
         });
-        inFlight += candidates.back().inFlight;
-        slots += candidates.back().slots;
     }
     auto choice = chooseEndpoint(candidates, wanted, m_options);
     if (!choice)
@@ -117,8 +113,6 @@
         .uncachedTokens = choice->uncachedTokens,
         .waitingTokens = candidates[choice->candidate].waitingTokens,
         .slotFree = candidates[choice->candidate].inFlight < candidates[choice->candidate].slots,
-        .serviceInFlight = inFlight,
-        .serviceSlots = slots,
         .reason = choice->reason };
 }
 
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -60,8 +60,6 @@
     double uncachedTokens { 0 };
     double waitingTokens { 0 }; // Before this request, as expected.
     bool slotFree { false }; // As expected.
-    double serviceInFlight { 0 }; // At all endpoints that could be chosen,
-    double serviceSlots { 0 }; // and their slots.
     std::string_view reason {};
 };
 
@@ -113,6 +111,8 @@
     void observeFirstEvent(double uncachedTokens, double seconds);
     // A request that found a slot free held it for `seconds`.
     void observeSlot(const std::string& service, double seconds) { m_slotTimes[service].observe(seconds); }
+    // Whether expected times of prompts rest on what this node has seen.
+    bool trustsTimes() const { return m_firstEvents.isTrusted(); }
     // How long an engine reads a prompt, as learnt.
     double prefillSeconds(double uncachedTokens) const { return uncachedTokens * m_firstEvents.secondsPerToken(); }
 
--- a/modules/balance/first_event_model.cpp
+++ b/modules/balance/first_event_model.cpp
@@ -18,6 +18,7 @@
 {
     if (tokens < 0 || seconds <= 0)
         return;
+    ++m_observations;
     for (auto* it : { &m_weight, &m_tokens, &m_seconds, &m_tokensSquared, &m_tokensSeconds })
         *it *= m_options.memoryPerObservation;
     add(tokens, std::min(seconds, m_options.longestTimes * this->seconds(tokens)), 1);
--- a/modules/balance/first_event_model.h
+++ b/modules/balance/first_event_model.h
@@ -11,6 +11,7 @@
     double initialSpreadTokens { 10000 }; // The assumed observations lie this far apart.
     double initialWeight { 4 }; // Observations that the assumption counts for.
     double memoryPerObservation { 0.98 }; // How much an older observation still counts: some fifty are in force.
+    unsigned trustedAfter { 20 }; // Observations: by then what was assumed counts for a sixth.
     double longestTimes { 2 }; // A time above this multiple of the expected one counts as this multiple: it was not the prompt that took it.
 };
 
@@ -21,6 +22,8 @@
     // A request with so many uncached tokens, which found nothing waiting, had its first event after `seconds`.
     void observe(double tokens, double seconds);
 
+    // It tells what was seen, and not what was assumed.
+    bool isTrusted() const { return m_observations >= m_options.trustedAfter; }
     double fixedSeconds() const { return m_fixedSeconds; }
     double secondsPerToken() const { return m_secondsPerToken; }
     double seconds(double tokens) const { return m_fixedSeconds + tokens * m_secondsPerToken; }
@@ -30,6 +33,7 @@
     void fit();
 
     FirstEventModelOptions m_options;
+    unsigned m_observations { 0 };
     double m_weight { 0 };
     double m_tokens { 0 };
     double m_seconds { 0 };
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -139,6 +139,9 @@
 
 bool Exchange::isOnTime(const ChosenEndpoint& chosen) const
 {
+    // What is assumed at the start may be wrong by a factor: nobody is sent away for it.
+    if (m_promptTokens > 0 && !m_context.endpoints.trustsTimes())
+        return true;
     auto moreUrgent = m_configuration->moreUrgent(m_service->name, priority());
     return canBeOnTime({
         .expectedSeconds = chosen.expectedSeconds,
@@ -146,8 +149,6 @@
         .objectiveSeconds = objectiveLeft(),
         .moreUrgent = moreUrgent.kinds,
         .moreUrgentObjectiveSeconds = std::chrono::duration<double>(moreUrgent.shortestObjective).count(),
-        .inFlight = chosen.serviceInFlight,
-        .slots = chosen.serviceSlots,
     });
 }
 
--- a/tests/modules/balance/test_first_event_model.cpp
+++ b/tests/modules/balance/test_first_event_model.cpp
@@ -46,4 +46,16 @@
     BOOST_TEST(std::abs(model.seconds(1000) - 0.2) < 0.02);
 }
 
+BOOST_AUTO_TEST_CASE(it_is_trusted_when_what_was_seen_outweighs_what_was_assumed)
+{
+    FirstEventModel model;
+    unsigned observations = 0;
+    while (!model.isTrusted()) {
+        model.observe(1000 + 100 * (observations % 7), 0.03);
+        ++observations;
+    }
+    BOOST_TEST(observations == 20U);
+    BOOST_TEST(model.seconds(1300) < 0.04);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
