Forget availability zones that are no longer declared

Found by reading: the scaler looked up the price of a zone that the configuration, or the note of an earlier holder, had named before; without an entry the process would have ended. The new test fails without the change.

--- a/modules/duty/endpoint_scaler.cpp
+++ b/modules/duty/endpoint_scaler.cpp
@@ -72,7 +72,10 @@
 
 void EndpointScaler::readList(const TrafficService& service, const EndpointList& list, ServiceState& state, SteadyTime now)
 {
-    for (const auto& [zone, price] : service.scaling->zonePrices) {
+    const auto& prices = service.scaling->zonePrices;
+    // A zone may have been taken out of the configuration since it was ordered in.
+    std::erase_if(state.zones, [&](const auto& it) { return !prices.contains(it.first); });
+    for (const auto& [zone, price] : prices) {
         state.zones[zone].reclaimable = 0;
         state.zones[zone].lasting = 0;
     }
--- a/tests/modules/duty/test_endpoint_scaler.cpp
+++ b/tests/modules/duty/test_endpoint_scaler.cpp
@@ -253,6 +253,23 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_zone_that_is_no_longer_declared_is_forgotten)
+{
+    Market market;
+    market.demand["s"] = { .requestsPerSecond = 50, .running = 40, .busyEngines = 3.75 };
+    for (int now = 0; now < 5000; now += 250)
+        market.step(at(now));
+    auto declaration = market.configuration.declaration();
+    declaration.services[0].scaling->zonePrices.erase("d");
+    market.configuration = TrafficConfiguration(declaration);
+    EndpointScaler successor;
+    successor.adopt(market.scaler.memory(at(5000)), at(5000));
+    for (auto* scaler : { &market.scaler, &successor }) {
+        for (const auto& order : scaler->orders(market.configuration, market.list, market.demand, at(5250)))
+            BOOST_TEST(order.zone != "d");
+    }
+}
+
 // Found by the bench: the holder changed in a shortage, and what its predecessor had ordered was booting and not listed. The new one
 // ordered fewer, and they were gone.
 BOOST_AUTO_TEST_CASE(a_new_holder_that_is_told_keeps_what_is_booting)
