--- a/misc/play_kinds.py
+++ b/misc/play_kinds.py
@@ -47,8 +47,13 @@
     ("reset_conns", 'share = 0.5, x = 0.5'),
     *[("cloud_down", f'for_s = 6.0, how = "{how}"') for how in ("silent", "busy", "reset")],
     ("cloud_slow", 'x = 50.0, for_s = 6.0'),
-    *[("srv_lying_health", 'share = 0.3, for_s = 5.0')],
-    *[("srv_flap", 'share = 0.3, for_s = 5.0')],
+    *[("srv_lying_health", f'share = 0.3, for_s = 5.0, how = "{how}"') for how in ("", "errors", "hang", "reset", "bad")],
+    ("srv_flap", 'share = 0.3, for_s = 5.0'),
+    *[("applied_late", f'x = 0.5, for_s = 6.0, how = "{how}"') for how in ("", "orders", "cloud", "grants", "all")],
+    ("give_up", 'share = 0.2, for_s = 5.0, how = "once"'),
+    ("srv_cut", 'share = 0.25, for_s = 5.0, how = "reborn"'),
+    ("herd_kill", 'share = 1.0, for_s = 1.5, on = "core", how = "taken all"'),
+    *[("platform_down", f'share = 0.5, for_s = 6.0, how = "{how}"') for how in ("nodes", "nodes reset revoke", "busy lapse")],
 ]
 PLANNED = [
     ("release", 'share = 0.5, x = 1.0, gap_s = 1.0'),
