--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -159,8 +159,8 @@
     constexpr double leastSpread = 0.75;
     constexpr double mostSpread = 1.25;
     refundTeam();
+    noteChoice(chosen);
     m_context.demand.onRefused(m_service->name);
-    m_expectedMilliseconds = static_cast<long>(chosen.expectedSeconds * 1000);
     auto room = std::chrono::duration<double>(chosen.expectedSeconds - chosen.unqueuedSeconds);
     if (m_service->scaling)
         room = std::max<std::chrono::duration<double>>(room, m_service->scaling->bootTime / 2);
@@ -207,11 +207,7 @@
     EndpointBook::Flight flight(chosen.endpoint, chosen.uncachedTokens);
     EndpointCall call(m_context, chosen.endpoint, connections, m_deadline);
     m_tried.push_back(chosen.endpoint->listed.id);
-    m_lastEndpoint = chosen.endpoint->listed.id;
-    m_choiceReason = chosen.reason;
-    m_expectedMilliseconds = static_cast<long>(chosen.expectedSeconds * 1000);
-    m_uncachedTokens = static_cast<long>(chosen.uncachedTokens);
-    m_waitingTokens = static_cast<long>(chosen.waitingTokens);
+    noteChoice(chosen);
     if (m_context.tellLongPrefill && m_context.endpoints.prefillSeconds(chosen.uncachedTokens) > std::chrono::duration<double>(m_context.options.longPrefill).count())
         m_context.tellLongPrefill(m_lastEndpoint, chosen.uncachedTokens);
     m_call = &call;
@@ -334,6 +330,16 @@
         m_context.endpoints.observeFirstEvent(chosen.uncachedTokens, seconds);
 }
 
+void Exchange::noteChoice(const ChosenEndpoint& chosen)
+{
+    m_lastEndpoint = chosen.endpoint->listed.id;
+    m_choiceReason = chosen.reason;
+    m_expectedMilliseconds = static_cast<long>(chosen.expectedSeconds * 1000);
+    m_unqueuedMilliseconds = static_cast<long>(chosen.unqueuedSeconds * 1000);
+    m_uncachedTokens = static_cast<long>(chosen.uncachedTokens);
+    m_waitingTokens = static_cast<long>(chosen.waitingTokens);
+}
+
 // A request that waited for a slot does not tell how long it held it.
 void Exchange::noteSlotTime(const ChosenEndpoint& chosen)
 {
@@ -505,7 +511,7 @@
     logEvent(LogLevel::Info, "request",
         { { "request_id", m_requestId }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() },
             { "team", m_team ? std::string_view(m_team->name) : std::string_view() }, { "endpoint", m_lastEndpoint }, { "choice", m_choiceReason },
-            { "expected_ms", m_expectedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "endpoints_revision", m_endpointsRevision },
+            { "expected_ms", m_expectedMilliseconds }, { "unqueued_ms", m_unqueuedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "endpoints_revision", m_endpointsRevision },
             { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_wantedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_fate.tries() }, { "status", status }, { "outcome", outcome }, { "objective_ms", m_route ? m_route->objective.count() : 0L },
             { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "left_ms", m_route ? timeLeft().count() : 0L } });
 }
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -48,6 +48,7 @@
     asio::awaitable<TryEnd> callEndpoint(EndpointCall&, const ChosenEndpoint&);
     asio::awaitable<TryEnd> relayStream(EndpointCall&, const ChosenEndpoint&);
     asio::awaitable<TryEnd> relayWhole(EndpointCall&, const ChosenEndpoint&);
+    void noteChoice(const ChosenEndpoint&);
     void noteFirstEvent(const ChosenEndpoint&);
     void noteSlotTime(const ChosenEndpoint&);
     void noteOutcome(EndpointState&, TryEnd);
@@ -96,6 +97,7 @@
     std::string_view m_choiceReason {};
     // What the last choice was decided by, for the log.
     long m_expectedMilliseconds { -1 };
+    long m_unqueuedMilliseconds { -1 };
     long m_uncachedTokens { 0 };
     long m_waitingTokens { 0 };
     unsigned long m_endpointsRevision { 0 };
--- a/tests/entry/test_forwarding.cpp
+++ b/tests/entry/test_forwarding.cpp
@@ -2,6 +2,8 @@
 #include "tests/harness/entry_site.h"
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <set>
+#include <thread>
 
 using namespace Onyxnotch;
 using namespace Onyxnotch::Tests;
@@ -337,6 +339,38 @@
     BOOST_TEST(waitUntil([&] { return one.ask(request("GET", "/safe/a", "id-2", "Token-Counts: 10,0\r\n")).head.status == HttpStatus::ok; }, Milliseconds(5000)));
 }
 
+// Found by a trial on the bench: with too few endpoints everything was taken, and everything was late.
+BOOST_AUTO_TEST_CASE(what_would_wait_too_long_for_a_slot_is_refused_at_once)
+{
+    constexpr auto serviceTime = std::chrono::milliseconds(700); // With eight slots and an objective of 200 ms, three may wait.
+    OneNode one([&](const auto& it) {
+        if (it.head.value("attempt-id") != "first")
+            return Fakes::ScriptedAnswer { .ending = Fakes::ScriptedAnswer::Ending::Hang };
+        std::this_thread::sleep_for(serviceTime);
+        return Fakes::ScriptedAnswer { .bytes = answerTo(it, "hello") };
+    });
+    BOOST_TEST(one.ask(request("GET", "/safe/a", "first")).head.status == HttpStatus::ok);
+    constexpr int manyCallers = 24;
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int n = 0; n < manyCallers; ++n) {
+        callers.push_back(std::make_unique<RawCaller>(one.node.callers));
+        callers.back()->send(request("GET", "/safe/a", "id-" + std::to_string(n)));
+    }
+    std::set<std::string> refused;
+    for (int n = 0; n < manyCallers; ++n) {
+        auto answer = callers[static_cast<std::size_t>(n)]->read();
+        if (answer.head.status != HttpStatus::serviceUnavailable)
+            continue;
+        BOOST_TEST(answer.head.find("retry-after"));
+        refused.insert("id-" + std::to_string(n));
+    }
+    // Some twelve at most fit, the slots are used, and what was refused has not run.
+    BOOST_TEST(refused.size() >= 8U);
+    BOOST_TEST(refused.size() <= 16U);
+    for (const auto& it : one.endpoint.requests())
+        BOOST_TEST(!refused.contains(std::string(it.head.value("attempt-id"))));
+}
+
 BOOST_AUTO_TEST_CASE(an_endpoint_that_does_not_say_not_run_is_not_quoted_with_a_promise)
 {
     OneNode one([](const auto& it) {
