Take a wait that was chosen for no shortage; trust assumed times after two seconds at the latest

The rule by urgency looks at the least wait of the service now, the rule by the objective at the endpoint that was chosen. They are trusted after twenty observations or two seconds.

--- a/modules/admission/deadline_admission.cpp
+++ b/modules/admission/deadline_admission.cpp
@@ -8,9 +8,11 @@
 {
     auto wait = request.expectedSeconds - request.unqueuedSeconds;
     auto spare = std::max(request.objectiveSeconds - request.unqueuedSeconds, request.objectiveSeconds * options.leastWaitPart);
-    if (request.moreUrgent > 0)
-        spare = std::min(spare, request.moreUrgentObjectiveSeconds);
-    return wait <= spare / (1 + request.moreUrgent);
+    if (wait > spare)
+        return false;
+    // A long wait at one endpoint is no shortage: it may be where the least of the prompt has to be read.
+    auto room = request.moreUrgent > 0 ? std::min(spare, request.moreUrgentObjectiveSeconds) : spare;
+    return request.leastWaitSeconds <= room / (1 + request.moreUrgent);
 }
 
 } // namespace Onyxnotch
--- a/modules/admission/deadline_admission.h
+++ b/modules/admission/deadline_admission.h
@@ -15,6 +15,7 @@
 struct DeadlineRequest {
     double expectedSeconds { 0 }; // To the first byte, at the endpoint that was chosen.
     double unqueuedSeconds { 0 }; // Of these, if nothing else were there.
+    double leastWaitSeconds { 0 }; // At the endpoint of the service with the shortest wait, which need not be the one that was chosen.
     double objectiveSeconds { 0 }; // What is left of it.
     unsigned moreUrgent { 0 }; // Kinds of request that the service also has and that are more urgent than this one,
     double moreUrgentObjectiveSeconds { 0 }; // and the shortest objective of them; without any, not looked at.
--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr Milliseconds markSpreadTime { 5000 }; // Twice what a row needs to reach a node of another zone in a fleet of a hundred.
+    constexpr Milliseconds trustedAfter { 2000 }; // A node with ten requests a second has seen twenty by then, if any found nothing waiting.
     constexpr double comfortablePart = 0.4; // Of the objective: an expectation that is wrong by a factor of two is still on time.
     constexpr double reservedMemoryPart = 0.75; // Of an engine's memory that prefixes may keep; running requests take the rest.
 
@@ -110,14 +111,22 @@
     return ChosenEndpoint { .endpoint = usable[choice->candidate],
         .expectedSeconds = choice->expectedSeconds,
         .unqueuedSeconds = choice->unqueuedSeconds,
+        .leastWaitSeconds = choice->leastWaitSeconds,
         .uncachedTokens = choice->uncachedTokens,
         .waitingTokens = candidates[choice->candidate].waitingTokens,
         .slotFree = candidates[choice->candidate].inFlight < candidates[choice->candidate].slots,
         .reason = choice->reason };
 }
 
-void EndpointBook::noteSent(const EndpointRequest& request, EndpointState& endpoint) const
+bool EndpointBook::trustsTimes(SteadyTime now) const
 {
+    return m_firstEvents.isTrusted() || (m_firstSentAt != SteadyTime {} && now - m_firstSentAt >= trustedAfter);
+}
+
+void EndpointBook::noteSent(const EndpointRequest& request, EndpointState& endpoint, SteadyTime now)
+{
+    if (m_firstSentAt == SteadyTime {} && request.promptTokens > 0)
+        m_firstSentAt = now;
     if (!request.parts.empty())
         endpoint.prefixes.touch(request.parts, memoryTokens(request.service));
 }
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -57,6 +57,7 @@
     std::shared_ptr<EndpointState> endpoint {};
     double expectedSeconds { 0 };
     double unqueuedSeconds { 0 }; // Of these, if nothing else were there.
+    double leastWaitSeconds { 0 }; // At any endpoint of the service.
     double uncachedTokens { 0 };
     double waitingTokens { 0 }; // Before this request, as expected.
     bool slotFree { false }; // As expected.
@@ -77,7 +78,7 @@
     // Empty where the service has no endpoint that may be used. Changes nothing: a request that is sent there is noted by noteSent().
     std::optional<ChosenEndpoint> choose(const EndpointRequest&, SteadyTime now) const;
     // The endpoint will keep what the request's prompt shares with others.
-    void noteSent(const EndpointRequest&, EndpointState&) const;
+    void noteSent(const EndpointRequest&, EndpointState&, SteadyTime now);
 
     // Counts a request in flight from construction to destruction.
     class Flight {
@@ -111,8 +112,10 @@
     void observeFirstEvent(double uncachedTokens, double seconds);
     // A request that found a slot free held it for `seconds`.
     void observeSlot(const std::string& service, double seconds) { m_slotTimes[service].observe(seconds); }
-    // Whether expected times of prompts rest on what this node has seen.
-    bool trustsTimes() const { return m_firstEvents.isTrusted(); }
+    // Whether expected times of prompts rest on what this node has seen. Where hardly a request finds nothing waiting for two seconds,
+    // the endpoints are overloaded, and a wrong time is better than none: what is refused for it lets others find nothing waiting, and
+    // they correct it.
+    bool trustsTimes(SteadyTime now) const;
     // How long an engine reads a prompt, as learnt.
     double prefillSeconds(double uncachedTokens) const { return uncachedTokens * m_firstEvents.secondsPerToken(); }
 
@@ -127,6 +130,7 @@
     std::map<std::string, std::vector<std::shared_ptr<EndpointState>>> m_ofService {};
     std::map<std::string, double> m_memoryTokens {}; // By service.
     std::map<std::string, SteadyTime> m_leaving {}; // Since when it is known, by id. Never taken back.
+    SteadyTime m_firstSentAt {}; // When the first prompt was sent to any endpoint.
     FirstEventModel m_firstEvents {};
     std::map<std::string, SlotTimeModel> m_slotTimes {}; // By service.
     ChoiceOptions m_options {};
--- a/modules/balance/endpoint_choice.cpp
+++ b/modules/balance/endpoint_choice.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Onyxnotch {
 
@@ -69,21 +70,25 @@
         return left.rank > right.rank;
     };
     std::optional<Rated> best;
+    auto leastWait = std::numeric_limits<double>::max();
     for (auto it = candidates.begin(); it != candidates.end(); ++it) {
         auto candidate = *it;
         if (it == home)
             candidate.keptTokens = std::max(candidate.keptTokens, request.sharedTokens);
         auto seconds = expectedSeconds(candidate, request, options);
+        auto unqueued = unqueuedSeconds(candidate, request, options);
+        leastWait = std::min(leastWait, seconds - unqueued);
         Rated rated { .choice = { .candidate = static_cast<std::size_t>(it - candidates.begin()),
                           .uncachedTokens = std::max(0.0, request.promptTokens - candidate.keptTokens),
                           .expectedSeconds = seconds,
-                          .unqueuedSeconds = unqueuedSeconds(candidate, request, options),
+                          .unqueuedSeconds = unqueued,
                           .reason = it == home ? "home" : "least_wait" },
             .rank = candidate.rank,
             .comfortable = seconds <= request.comfortableSeconds };
         if (!best || isBetter(rated, *best))
             best = rated;
     }
+    best->choice.leastWaitSeconds = leastWait;
     return best->choice;
 }
 
--- a/modules/balance/endpoint_choice.h
+++ b/modules/balance/endpoint_choice.h
@@ -44,6 +44,7 @@
     double uncachedTokens { 0 }; // Of the prompt, expected.
     double expectedSeconds { 0 }; // Until the first byte of the answer, without the network.
     double unqueuedSeconds { 0 }; // Of these, if nothing else were there.
+    double leastWaitSeconds { 0 }; // Of all candidates, for what is there before the request.
     std::string_view reason {}; // "home", "least_wait".
 };
 
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -140,12 +140,13 @@
 bool Exchange::isOnTime(const ChosenEndpoint& chosen) const
 {
     // What is assumed at the start may be wrong by a factor: nobody is sent away for it.
-    if (m_promptTokens > 0 && !m_context.endpoints.trustsTimes())
+    if (m_promptTokens > 0 && !m_context.endpoints.trustsTimes(steadyNow()))
         return true;
     auto moreUrgent = m_configuration->moreUrgent(m_service->name, priority());
     return canBeOnTime({
         .expectedSeconds = chosen.expectedSeconds,
         .unqueuedSeconds = chosen.unqueuedSeconds,
+        .leastWaitSeconds = chosen.leastWaitSeconds,
         .objectiveSeconds = objectiveLeft(),
         .moreUrgent = moreUrgent.kinds,
         .moreUrgentObjectiveSeconds = std::chrono::duration<double>(moreUrgent.shortestObjective).count(),
@@ -161,7 +162,7 @@
     refundTeam();
     noteChoice(chosen);
     m_context.demand.onRefused(m_service->name);
-    auto room = std::chrono::duration<double>(chosen.expectedSeconds - chosen.unqueuedSeconds);
+    auto room = std::chrono::duration<double>(chosen.leastWaitSeconds);
     if (m_service->scaling)
         room = std::max<std::chrono::duration<double>>(room, m_service->scaling->bootTime / 2);
     room *= std::uniform_real_distribution<double>(leastSpread, mostSpread)(m_context.random);
@@ -187,7 +188,7 @@
                 co_return co_await refuseForWantOfRoom(*chosen);
         }
         first = false;
-        m_context.endpoints.noteSent(request, *chosen->endpoint);
+        m_context.endpoints.noteSent(request, *chosen->endpoint, steadyNow());
         auto end = co_await tryEndpoint(*chosen);
         m_fate.onEnd(end);
         noteOutcome(*chosen->endpoint, end);
