Carry out roll-outs; give pages once and compressed; read long lists page by page

Roll-outs (modules/rollout): an operator's order moves a service to another version. A version that appears beside another one gets nothing until the holder of the duties has read the orders; then an even part of what a bad one may get, judged against the old version at the same time by route (a sequential test); then everything, and 'completed' once nothing runs at the old version. Each node stops a bad version by itself, by the fleet's totals and its own tries. Switched on by the bound on canaries in the settings.

Cause by reading: a relay makes each page anew for each of its 75 nodes, on new connections, and a configuration of that size goes out uncompressed; and 300 nodes that start at once, six pages of endpoints each, start their lists over at each refused page. Pages are made and compressed once, connections kept, refused pages asked again.

--- a/main/entry_main.cpp
+++ b/main/entry_main.cpp
@@ -46,6 +46,8 @@
         .makeCloud = [address = settings.cloud](asio::io_context& context) { return std::make_unique<Platform::CloudClient>(context, address); },
         .decodeDeclaration = Platform::decodeDeclaration,
         .decodeEndpoint = Platform::decodeEndpoint,
+        .decodeRollout = Platform::decodeRollout,
+        .encodeRolloutRecord = Platform::encodeRolloutRecord,
     };
 }
 
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -48,6 +48,14 @@
                 "reserve": { "type": "number", "minimum": 0, "default": 10, "description": "Beyond that, in each window." }
             }
         },
+        "rollouts": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "What a new version of a service may get before it is known to be good. Without it, all versions are used alike and no roll-out is carried out.",
+            "properties": {
+                "canaryShare": { "type": "number", "minimum": 0, "maximum": 1, "default": 0, "description": "Part of the service's requests between an order and its deadline. 0: no roll-outs." },
+                "canarySlack": { "type": "number", "minimum": 0, "default": 0, "description": "Requests beyond that." }
+            }
+        },
         "relays": { "type": "boolean", "default": true, "description": "Whether the nodes of a large fleet hear of each other by relays of their zones. Off, each tells as many others as it can." },
         "graceSeconds": { "type": "number", "minimum": 0.5, "default": 8, "description": "Time from the stop signal to the kill." },
         "leaseMs": { "type": "number", "minimum": 500, "default": 3000, "description": "How long a duty's lease holds without a renewal." },
@@ -109,6 +117,11 @@
         entry.forward.startWait = milliseconds(document["startWaitMs"]);
         entry.forward.usageWindowMilliseconds = static_cast<unsigned>(secondsOf(document["usageWindowSeconds"]).count());
         entry.retries = { .perRequest = document["retries"]["perRequest"], .reserve = document["retries"]["reserve"] };
+        auto& rollouts = entry.rollouts;
+        rollouts.plan.canaryShare = document["rollouts"]["canaryShare"];
+        rollouts.plan.canarySlack = document["rollouts"]["canarySlack"];
+        rollouts.enabled = rollouts.plan.canaryShare > 0;
+        entry.forward.rollouts = rollouts.enabled;
         entry.relays = document["relays"];
         entry.grace = secondsOf(document["graceSeconds"]);
         auto lease = milliseconds(document["leaseMs"]);
--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -99,9 +99,28 @@
 {
     if (m_leaving.contains(state.listed.life()))
         return false;
+    const auto& barred = request.versions.barred;
+    if (std::find(barred.begin(), barred.end(), state.listed.version) != barred.end())
+        return false;
     return std::find(request.excluded.begin(), request.excluded.end(), state.listed.id) == request.excluded.end();
 }
 
+void EndpointBook::keepWantedVersion(std::vector<std::shared_ptr<EndpointState>>& usable, const VersionLimits& limits)
+{
+    if (limits.wanted.empty())
+        return;
+    std::vector<std::shared_ptr<EndpointState>> wanted;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(wanted), [&](const auto& it) { return it->listed.version == limits.wanted; });
+    if (wanted.empty())
+        return;
+    if (limits.mostEndpoints > 0 && wanted.size() > limits.mostEndpoints) {
+        // The same ones at every node.
+        std::sort(wanted.begin(), wanted.end(), [](const auto& left, const auto& right) { return hashOf(left->listed.life()) < hashOf(right->listed.life()); });
+        wanted.resize(limits.mostEndpoints);
+    }
+    usable = std::move(wanted);
+}
+
 double EndpointBook::memoryTokens(const std::string& service) const
 {
     auto it = m_memoryTokens.find(service);
@@ -128,6 +147,7 @@
     // Where every endpoint is set aside, the evidence speaks against something else than the endpoints.
     if (usable.empty())
         usable = std::move(resting);
+    keepWantedVersion(usable, request.versions);
     auto chains = chainHashes(request.parts);
     // The last part belongs to the request itself or to its session; what stands before it is shared.
     auto key = chains.size() > 1 ? chains[chains.size() - 2] : (chains.empty() ? 0 : chains.back());
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -7,6 +7,7 @@
 #include "modules/balance/first_event_model.h"
 #include "modules/balance/prefix_cache.h"
 #include "modules/balance/slot_time_model.h"
+#include "modules/rollout/version_gate.h"
 #include "modules/traffic/traffic_view.h"
 #include <deque>
 
@@ -51,6 +52,7 @@
     double promptTokens { 0 };
     double objectiveSeconds { 0 }; // What is left of it.
     std::vector<std::string> excluded {}; // Ids that this request was sent to before.
+    VersionLimits versions {};
 };
 
 struct ChosenEndpoint {
@@ -138,6 +140,8 @@
     double slotSeconds(const std::string& service) const;
     bool mayUse(const EndpointState&, const EndpointRequest&) const;
     bool usesLife(const EndpointLife&) const;
+    // Leaves those of the version that the request should go to, where there are any.
+    static void keepWantedVersion(std::vector<std::shared_ptr<EndpointState>>&, const VersionLimits&);
 
     std::string m_zone;
     std::shared_ptr<const EndpointList> m_list {};
--- a/modules/control/node_summary.cpp
+++ b/modules/control/node_summary.cpp
@@ -30,6 +30,7 @@
         takeNewer(configuration, { .version = row->configurationVersion, .address = row->controlAddress, .zone = row->zone }, owner.zone);
         for (const auto& [service, demand] : row->demand)
             summary.demand[service] += demand;
+        addNews(summary.versions, row->versions);
     }
     takeSources(summary, endpoints, configuration);
     return summary;
@@ -37,7 +38,7 @@
 
 NodeSummary summarizeGroup(const GroupSum& others, const SummaryOwner& owner)
 {
-    NodeSummary summary { .alivePeers = others.nodes, .peerHoldsDuties = !others.dutyHolders.empty(), .demand = others.demand };
+    NodeSummary summary { .alivePeers = others.nodes, .peerHoldsDuties = !others.dutyHolders.empty(), .demand = others.demand, .versions = others.versions };
     for (const auto& it : others.formerHolders)
         summary.leftDuties.emplace(it.node, LeftDuties { .life = it.lifetime, .fence = it.fence });
     bool otherIsFirst = !others.firstCandidate.empty() && (others.firstCandidate < owner.node || !owner.watchesStore || owner.leftDuties);
--- a/modules/control/node_summary.h
+++ b/modules/control/node_summary.h
@@ -35,6 +35,7 @@
     WindowCounts usage {}; // Over all nodes.
     Milliseconds usageSettles { 1500 }; // After a window's end: each node tells the holder of the duties once a second at least.
     std::map<std::string, ServiceDemand> demand {}; // Over all nodes, by service.
+    VersionNews versions {}; // The same.
 };
 
 // The node that a summary is made for.
--- a/modules/control/object_store.h
+++ b/modules/control/object_store.h
@@ -18,6 +18,7 @@
     std::uint64_t revision { 0 };
     bool deleted { false };
     nlohmann::json value {};
+    nlohmann::json status {}; // What has been recorded of it; null where nothing has.
 
     bool operator==(const StoreObject&) const = default;
 };
@@ -29,19 +30,26 @@
     unsigned unnamed { 0 }; // That could not be read so far as to say which they are.
 };
 
+struct StorePage {
+    StoreObjects objects {};
+    bool more { false }; // Pages follow.
+};
+
 // What the store keeps. Kinds are the adapter's business.
 enum class StoreKind {
     Configuration,
     Endpoints,
     Duties, // Leases of the nodes.
     Nodes, // Where the nodes can be found.
+    Rollouts, // Operators' orders to move a service to another version.
 };
 
 class ObjectStore {
 public:
     virtual ~ObjectStore() = default;
 
-    virtual asio::awaitable<Result<StoreObjects>> list(StoreKind) = 0;
+    // The first objects by name, or the first ones behind a name. listAll() reads all of them.
+    virtual asio::awaitable<Result<StorePage>> listPage(StoreKind, const std::string& behind) = 0;
     // Waits for changes behind a revision; an empty list where none came in time. Errors: Exhausted where the history is gone, so
     // that the kind must be listed again.
     virtual asio::awaitable<Result<StoreObjects>> watch(StoreKind, std::uint64_t revision, Milliseconds wait) = 0;
@@ -50,6 +58,8 @@
     // Returns the object's revision. Errors: Conflict where the condition does not hold, Ambiguous where the answer was lost.
     virtual asio::awaitable<Result<std::uint64_t>> create(StoreKind, const std::string& name, const nlohmann::json& value) = 0;
     virtual asio::awaitable<Result<std::uint64_t>> replace(StoreKind, const std::string& name, std::uint64_t revision, const nlohmann::json& value) = 0;
+    // Records what has become of an object that an operator writes.
+    virtual asio::awaitable<Result<std::uint64_t>> recordStatus(StoreKind, const std::string& name, std::uint64_t revision, const nlohmann::json& status) = 0;
 };
 
 // How many endpoints of a service an availability zone should hold.
--- a/modules/control/store_follower.cpp
+++ b/modules/control/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "modules/control/store_follower.h"
 
 #include "core/log.h"
+#include "modules/control/paged_list.h"
 #include <algorithm>
 #include <asio/redirect_error.hpp>
 #include <asio/use_awaitable.hpp>
@@ -20,6 +21,8 @@
             return "duties";
         case StoreKind::Nodes:
             return "nodes";
+    case StoreKind::Rollouts:
+        return "rollouts";
         }
         return "";
     }
@@ -77,7 +80,7 @@
 
 asio::awaitable<bool> StoreFollower::list()
 {
-    auto page = co_await m_store.list(m_kind);
+    auto page = co_await listAll(m_context, m_store, m_kind);
     noteResult(page ? nullptr : &page.error());
     if (!page)
         co_return false;
--- a/modules/entry/entry_control.h
+++ b/modules/entry/entry_control.h
@@ -5,8 +5,9 @@
 #include "core/utf8.h"
 #include "modules/control/endpoint_history.h"
 #include "modules/control/list_change.h"
+#include "modules/control/paged_list.h"
+#include "modules/control/peer_pages.h"
 #include "modules/entry/entry_requests.h"
-#include "modules/forward/head_fields.h"
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
@@ -16,9 +17,6 @@
 namespace detail {
 
     constexpr Milliseconds controlStep { 100 }; // How often the control thread looks after endpoints and peers' versions.
-    constexpr Milliseconds peerFetchTimeout { 700 };
-    // Of all endpoints, some 200 bytes each: a list of 3,000 takes a link of 10 Mbit/s half a second when it is alone there.
-    constexpr Milliseconds wholePageTimeout { 3000 };
     // After a page that did not come: nodes that ask the same peer are not to come back together.
     constexpr Milliseconds shortestFetchPause { 100 };
     constexpr Milliseconds longestFetchPause { 800 };
@@ -27,8 +25,6 @@
     constexpr unsigned refusedLinesPerSecond = 10; // For entries that cannot be read; the counter tells how many there are.
     constexpr Milliseconds aloneAfter { 2000 }; // Without any peer, the store is asked where the others are.
     constexpr auto configurationName = "main";
-    constexpr auto configurationPath = "/configuration";
-    constexpr std::string_view endpointsPath = "/endpoints?since="; // And the revision that the asker knows.
     // How old a page of endpoints is on average when it comes from a peer: a row, and the fetching; with relays, two sums more.
     constexpr Milliseconds pageAge { 250 };
     constexpr Milliseconds pageAgeInFleet { 750 };
@@ -50,10 +46,16 @@
         , endpoints(
               context, *store, StoreKind::Endpoints, [this](const auto& objects, bool) { onEndpoints(objects); }, entryNode.m_options.follower)
         , duties(context, *store, *cloud, entryNode.m_view, entryNode.m_summary, dutyOptions(entryNode))
+        , rollouts(context, *store, entryNode.m_view, entryNode.m_summary, entryNode.m_versionShares, rolloutPorts(), entryNode.m_options.rollouts)
         , pages(context, entryNode.m_options.control, [this](const HttpHead& head) { return answerPage(head); })
     {
     }
 
+    RolloutKeeper::Ports rolloutPorts()
+    {
+        return { .decode = node.m_ports.decodeRollout, .encode = node.m_ports.encodeRolloutRecord, .holdsDuties = [this] { return duties.holds(); } };
+    }
+
     // The lease tells which life of this node wrote it.
     static DutyOptions dutyOptions(const EntryNode& entryNode)
     {
@@ -78,6 +80,7 @@
         const auto& own = node.m_options.duties;
         if (own.reportsUsage || own.ordersEndpoints)
             asio::co_spawn(context, duties.run(), asio::detached);
+        asio::co_spawn(context, rollouts.run(), asio::detached);
         asio::co_spawn(context, lookAfter(), asio::detached);
         asio::co_spawn(context, followConfiguration(), asio::detached);
         asio::co_spawn(context, followEndpoints(), asio::detached);
@@ -85,15 +88,11 @@
         return success();
     }
 
-    HttpResponse answerPage(const HttpHead& head) const
+    HttpResponse answerPage(const HttpHead& head)
     {
-        if (head.target == detail::configurationPath && configurationText)
-            return { .body = *configurationText };
-        if (head.target.rfind(detail::endpointsPath, 0) == 0 && !history.isEmpty())
-            return { .body = history.pageSince(parseNumber<std::uint64_t>(std::string_view(head.target).substr(detail::endpointsPath.size())).value_or(0)).dump() };
         if (head.target == "/metrics")
             return { .contentType = "text/plain; version=0.0.4", .body = node.m_metrics.serialize() };
-        return { .status = HttpStatus::notFound };
+        return givenPages.answer(head.target, history);
     }
 
     void onConfigurations(const std::map<std::string, StoreObject>& objects)
@@ -114,7 +113,7 @@
         auto routes = declaration.value().routes.size();
         if (!node.m_view.offer(std::make_shared<const TrafficConfiguration>(std::move(declaration.value()))))
             return;
-        configurationText = std::make_shared<const std::string>(document.dump());
+        givenPages.setConfiguration(document.dump());
         logEvent(LogLevel::Info, "configuration_in_force", { { "version", version }, { "source", source }, { "routes", routes } });
     }
 
@@ -214,20 +213,6 @@
         }
     }
 
-    // A page of a peer; null where it did not come.
-    asio::awaitable<nlohmann::json> fetchPage(Address peer, std::string path, Milliseconds timeout)
-    {
-        AsyncHttpClient client(context, peer);
-        AsyncHttpCall call { .target = path, .timeout = timeout };
-        auto reply = co_await client.call(call);
-        if (!reply || !reply.value().ok()) {
-            logEvent(LogLevel::Info, "peer_page_missed", { { "peer", peer.text() }, { "path", path } });
-            co_return nlohmann::json();
-        }
-        auto document = nlohmann::json::parse(reply.value().body, nullptr, false);
-        co_return document.is_discarded() ? nlohmann::json() : document;
-    }
-
     // A peer has a newer configuration than the store has told us.
     asio::awaitable<void> fetchConfiguration()
     {
@@ -235,7 +220,7 @@
         auto current = node.m_view.configuration();
         if (summary->peerConfigurationVersion <= (current ? current->version() : 0))
             co_return;
-        auto document = co_await fetchPage(summary->peerConfigurationAddress, detail::configurationPath, detail::peerFetchTimeout);
+        auto document = co_await askedPages.configuration(summary->peerConfigurationAddress);
         if (!document.is_null())
             takeConfiguration(document, detail::peerSource);
     }
@@ -255,8 +240,7 @@
         if (endpoints.connected() || summary->peerEndpointsRevision <= history.revision() || awaitsOwnList())
             co_return true;
         auto since = history.revisionToAsk();
-        auto path = std::string(detail::endpointsPath) + std::to_string(since);
-        auto page = co_await fetchPage(summary->peerEndpointsAddress, path, since == 0 ? detail::wholePageTimeout : detail::peerFetchTimeout);
+        auto page = co_await askedPages.endpointsSince(summary->peerEndpointsAddress, since);
         if (page.is_null())
             co_return false;
         auto applied = history.apply(page);
@@ -286,7 +270,7 @@
     // One list tells what this node's own entry says and how many others there are.
     asio::awaitable<bool> registerNode(const nlohmann::json& value)
     {
-        auto nodes = co_await store->list(StoreKind::Nodes);
+        auto nodes = co_await listAll(context, *store, StoreKind::Nodes);
         if (!nodes)
             co_return false;
         auto others = contactsOf(nodes.value());
@@ -305,7 +289,7 @@
 
     asio::awaitable<void> readNodes()
     {
-        auto nodes = co_await store->list(StoreKind::Nodes);
+        auto nodes = co_await listAll(context, *store, StoreKind::Nodes);
         if (!nodes)
             co_return;
         auto others = contactsOf(nodes.value());
@@ -346,8 +330,10 @@
     StoreFollower configurations;
     StoreFollower endpoints;
     DutyRunner duties;
+    RolloutKeeper rollouts;
     AsyncHttpServer pages;
-    std::shared_ptr<const std::string> configurationText {};
+    PeerPageServer givenPages {};
+    PeerPageClient askedPages { context };
     EndpointHistory history {}; // For nodes that do not follow the store.
     std::map<std::string, ReadEntry> readEntries {};
     LogBudget refusedLines { detail::refusedLinesPerSecond };
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -8,7 +8,7 @@
 EntryNode::EntryNode(const EntryOptions& options, EntryPorts ports)
     : m_options(options)
     , m_ports(std::move(ports))
-    , m_requests(std::make_unique<RequestSide>(m_options, m_view, m_summary, m_metrics, m_controlState))
+    , m_requests(std::make_unique<RequestSide>(m_options, m_view, m_summary, m_metrics, m_controlState, m_versionShares))
     , m_control(std::make_unique<ControlSide>(*this))
 {
 }
--- a/modules/entry/entry_node.h
+++ b/modules/entry/entry_node.h
@@ -7,6 +7,7 @@
 #include "modules/duty/duty_runner.h"
 #include "modules/forward/forward_server.h"
 #include "modules/peers/peer_exchange.h"
+#include "modules/rollout/rollout_keeper.h"
 #include <nlohmann/json_fwd.hpp>
 #include <thread>
 
@@ -34,6 +35,7 @@
     StoreFollowerOptions follower {};
     EndpointRegistryOptions registry {};
     DutyOptions duties {};
+    RolloutKeeperOptions rollouts {};
 };
 
 // What the platform's adapter gives: the ports, and how their contents are read.
@@ -42,6 +44,8 @@
     std::function<std::unique_ptr<CloudOrders>(asio::io_context&)> makeCloud {};
     std::function<Result<TrafficDeclaration>(const nlohmann::json&)> decodeDeclaration {};
     std::function<Result<ListedEndpoint>(const std::string& id, const nlohmann::json&)> decodeEndpoint {};
+    std::function<Result<RolloutOrder>(const StoreObject&)> decodeRollout {};
+    std::function<nlohmann::json(const RolloutRecord&)> encodeRolloutRecord {};
 };
 
 class EntryNode {
@@ -81,6 +85,7 @@
     NodeSummarySlot m_summary {};
     Metrics m_metrics {};
     ControlState m_controlState {};
+    VersionShareSlot m_versionShares {};
     std::atomic<bool> m_stopping { false };
     std::unique_ptr<RequestSide> m_requests;
     std::unique_ptr<ControlSide> m_control;
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -28,11 +28,12 @@
 
 // Everything on the thread that serves requests.
 struct EntryNode::RequestSide {
-    RequestSide(const EntryOptions& entryOptions, TrafficView& trafficView, NodeSummarySlot& summarySlot, Metrics& metrics, ControlState& stateOfControl)
+    RequestSide(const EntryOptions& entryOptions, TrafficView& trafficView, NodeSummarySlot& summarySlot, Metrics& metrics, ControlState& stateOfControl, VersionShareSlot& sharesSlot)
         : options(entryOptions)
         , view(trafficView)
         , summary(summarySlot)
         , control(stateOfControl)
+        , versionShares(sharesSlot)
         , forward(context, trafficView, metrics, entryOptions.forward, entryOptions.retries)
         , server(forward, entryOptions.callers)
         , peers(entryOptions.node)
@@ -104,7 +105,7 @@
     {
         auto configuration = view.configuration();
         if (configuration)
-            forward.endpoints.update(view.endpoints(), *configuration, now);
+            forward.takeEndpoints(view.endpoints(), *configuration, now);
         forward.endpoints.setReadsStore(control.watchesStore);
         peers.forgetOld(now);
         expectNodes();
@@ -281,9 +282,28 @@
             .loads = forward.endpoints.ownLoads(),
             .leavingEndpoints = usesRelays() ? forward.endpoints.ownLeavingMarks(steadyNow(), marksInRow) : forward.endpoints.recentLeavingMarks(steadyNow()),
             .demand = forward.demand.demand(),
+            .versions = ownVersions(),
         };
     }
 
+    VersionNews ownVersions() const
+    {
+        if (!options.rollouts.enabled)
+            return {};
+        return { .trials = forward.versions.ownTrials(), .shares = *versionShares.get(), .stopped = forward.versions.stopped() };
+    }
+
+    // What the fleet knows of versions that run side by side decides what this node may send to them.
+    void hearVersions(VersionNews others, SteadyTime now)
+    {
+        if (!options.rollouts.enabled)
+            return;
+        addNews(others, { .shares = *versionShares.get() });
+        forward.versions.onNews(others, now);
+        for (const auto& it : forward.versions.takeNewlyStopped())
+            logEvent(LogLevel::Warning, "version_stopped", { { "service", it.service }, { "version", it.version }, { "ordered_at", it.orderedAt } });
+    }
+
     SummaryOwner summaryOwner() const
     {
         return { .node = options.node, .zone = options.zone, .watchesStore = control.watchesStore, .leftDuties = control.leftDutiesFence > 0 };
@@ -316,6 +336,9 @@
     {
         result.trueMilliseconds = forward.trueMilliseconds();
         result.madeAt = now;
+        hearVersions(result.versions, now);
+        addTrials(result.versions.trials, forward.versions.ownTrials());
+        result.versions.stopped = forward.versions.stopped();
         result.usage = peers.usage();
         for (const auto& [window, counts] : forward.usage.windows()) {
             for (const auto& [team, count] : counts)
@@ -351,6 +374,7 @@
     TrafficView& view;
     NodeSummarySlot& summary;
     ControlState& control;
+    VersionShareSlot& versionShares;
     asio::io_context context { 1 };
     ForwardContext forward;
     ForwardServer server;
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -110,7 +110,7 @@
         co_return co_await answer(*refusal);
     auto endpoints = m_context.view.endpoints();
     m_endpointsRevision = endpoints ? endpoints->revision : 0;
-    m_context.endpoints.update(endpoints, *m_configuration, steadyNow());
+    m_context.takeEndpoints(endpoints, *m_configuration, steadyNow());
     m_context.retries.onRequest(m_service->name);
     m_context.demand.onBegin(m_service->name);
     m_caller->watch([this] {
@@ -132,7 +132,48 @@
 
 EndpointRequest Exchange::endpointRequest() const
 {
-    return { .service = m_service->name, .parts = m_parts, .promptTokens = m_promptTokens, .objectiveSeconds = objectiveLeft(), .excluded = m_tried };
+    return { .service = m_service->name, .parts = m_parts, .promptTokens = m_promptTokens, .objectiveSeconds = objectiveLeft(), .excluded = m_tried, .versions = versionLimits() };
+}
+
+VersionLimits Exchange::versionLimits() const
+{
+    if (!m_context.options.rollouts)
+        return {};
+    // A further try goes to the version that callers know, unless all goes to the new one.
+    constexpr std::uint64_t last = ~std::uint64_t(0);
+    auto selector = m_tried.empty() ? mixHash(std::hash<std::string> {}(m_requestId), 1) : last;
+    return m_context.versions.limitsFor(m_service->name, selector, steadyNow());
+}
+
+void Exchange::noteVersionSent(const ListedEndpoint& endpoint)
+{
+    m_firstEventAt = {};
+    m_isTrial = m_context.options.rollouts && m_context.versions.isMixed(m_service->name);
+    if (m_isTrial)
+        m_context.versions.onSent({ .service = m_service->name, .version = endpoint.version, .route = m_route->name });
+}
+
+// Only answers are evidence of a version: an endpoint that crashed, a zone that was reclaimed or a caller that left says nothing of it.
+void Exchange::noteVersionEnd(const ChosenEndpoint& chosen, TryEnd end)
+{
+    if (!m_context.options.rollouts)
+        return;
+    auto now = steadyNow();
+    bool isStream = m_firstEventAt != SteadyTime {};
+    AnswerTimes times {
+        .firstSeconds = std::chrono::duration<double>((isStream ? m_firstEventAt : now) - m_sentAt).count(),
+        .expectedSeconds = isStream ? chosen.expectedSeconds : 0,
+        .restSeconds = isStream ? std::chrono::duration<double>(now - m_firstEventAt).count() : 0,
+        .restEvents = isStream ? static_cast<unsigned>(m_events.events()) : 0,
+    };
+    bool isSlow = end == TryEnd::Delivered && m_context.pace.isSlow(m_route->name, times);
+    if (m_isTrial) {
+        bool isBad = end == TryEnd::FailedAnswer || isSlow;
+        m_context.versions.onEnd({ .service = m_service->name, .version = chosen.endpoint->listed.version, .route = m_route->name }, end == TryEnd::Delivered && !isSlow, isBad);
+    }
+    bool isKnownVersion = !m_context.versions.isOnTrial(m_service->name, chosen.endpoint->listed.version);
+    if (end == TryEnd::Delivered && isKnownVersion)
+        m_context.pace.observe(m_route->name, times);
 }
 
 int Exchange::priority() const { return m_team && m_team->priority ? *m_team->priority : m_route->priority; }
@@ -192,6 +233,7 @@
         auto end = co_await tryEndpoint(*chosen);
         m_fate.onEnd(end);
         noteOutcome(*chosen->endpoint, end);
+        noteVersionEnd(*chosen, end);
         if (end == TryEnd::Delivered) {
             noteSlotTime(*chosen);
             co_return ExchangeEnd::Answered;
@@ -208,6 +250,7 @@
     EndpointBook::Flight flight(chosen.endpoint, chosen.uncachedTokens);
     EndpointCall call(m_context, chosen.endpoint, connections, m_deadline);
     m_tried.push_back(chosen.endpoint->listed.id);
+    noteVersionSent(chosen.endpoint->listed);
     noteChoice(chosen);
     if (m_context.tellLongPrefill && m_context.endpoints.prefillSeconds(chosen.uncachedTokens) > std::chrono::duration<double>(m_context.options.longPrefill).count())
         m_context.tellLongPrefill(chosen.endpoint->listed.life(), chosen.uncachedTokens);
@@ -325,6 +368,7 @@
     if (m_firstEventMilliseconds < 0)
         m_context.demand.onFirstEvent(m_service->name);
     m_firstEventMilliseconds = toMilliseconds(steadyNow() - m_request.arrivedAt).count();
+    m_firstEventAt = steadyNow();
     m_flight->prefilled();
     // Only a request that found nothing waiting, and that nothing came beside, tells how fast a prompt is read.
     if (m_waitingTokens == 0 && m_context.endpoints.waitingTokens(*chosen.endpoint, steadyNow()) == 0)
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -54,6 +54,9 @@
     void noteOutcome(EndpointState&, TryEnd);
     void writeTryLog(const EndpointState&, TryEnd);
     EndpointRequest endpointRequest() const;
+    VersionLimits versionLimits() const;
+    void noteVersionSent(const ListedEndpoint&);
+    void noteVersionEnd(const ChosenEndpoint&, TryEnd);
     int priority() const;
     bool isOnTime(const ChosenEndpoint&) const;
     asio::awaitable<ExchangeEnd> refuseForWantOfRoom(const ChosenEndpoint&);
@@ -89,6 +92,8 @@
     EndpointCall* m_call { nullptr }; // While a try runs.
     EndpointBook::Flight* m_flight { nullptr };
     SteadyTime m_sentAt {};
+    SteadyTime m_firstEventAt {}; // Of this try; none where there was none.
+    bool m_isTrial { false }; // Versions run side by side, and what this try shows counts.
     long m_firstEventMilliseconds { -1 }; // Since the request arrived; -1 where there was none.
     bool m_callerLeft { false };
     RequestFate m_fate {};
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -9,6 +9,8 @@
 #include "modules/limits/retry_budget.h"
 #include "modules/limits/team_limits.h"
 #include "modules/limits/usage_ledger.h"
+#include "modules/rollout/answer_pace.h"
+#include "modules/rollout/version_gate.h"
 #include <functional>
 #include <random>
 
@@ -32,6 +34,7 @@
     Milliseconds leastTimeToSend { 10 }; // A request with less time left is not sent: no endpoint could answer.
     Milliseconds longPrefill { 40 }; // A sixth of the gossip period: what is shorter is over before others could have heard.
     unsigned usageWindowMilliseconds { 5000 };
+    bool rollouts { false }; // Whether operators order roll-outs, so that a new version may be on trial.
 };
 
 // Bytes that all sessions of a node hold, and how many they may.
@@ -97,6 +100,17 @@
         return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(steadyNow().time_since_epoch()).count() + clockDifference);
     }
 
+    // Where the list has changed. What may go to versions that are new in it is decided before any request can.
+    void takeEndpoints(const std::shared_ptr<const EndpointList>& list, const TrafficConfiguration& configuration, SteadyTime now)
+    {
+        if (!list || list == m_takenList)
+            return;
+        m_takenList = list;
+        endpoints.update(list, configuration, now);
+        if (options.rollouts)
+            versions.onList(*list, now);
+    }
+
     asio::io_context& context;
     TrafficView& view;
     Metrics& metrics;
@@ -106,6 +120,8 @@
     SharedRetryBudget retries;
     UsageLedger usage;
     DemandMeter demand {};
+    VersionGate versions {};
+    AnswerPace pace {};
     // A line for each request costs processor time: this many of those that went well, and of the others, are written in a second.
     LogBudget answeredLines { 100 };
     LogBudget failedLines { 100 };
@@ -116,6 +132,9 @@
     std::function<void(const EndpointLife&, double tokens)> tellLongPrefill {};
     unsigned nodes { 1 }; // That share the endpoints' connections, this one included.
     std::mt19937_64 random { std::random_device {}() };
+
+private:
+    std::shared_ptr<const EndpointList> m_takenList {};
 };
 
 } // namespace Onyxnotch
--- a/modules/peers/fleet_relay.cpp
+++ b/modules/peers/fleet_relay.cpp
@@ -50,7 +50,7 @@
     contacts.push_back(m_self);
     m_chosen = m_choice.choose(contacts, m_options.node, now);
     m_zoneTotals.hear(row.node, row.lifetime, Milliseconds(0), row.teamTotals, now);
-    m_ownRows.push_back({ .sequence = row.sequence, .teamTotals = row.teamTotals, .loads = row.loads });
+    m_ownRows.push_back({ .sequence = row.sequence, .teamTotals = row.teamTotals, .loads = row.loads, .trials = row.versions.trials });
     if (m_ownRows.size() > keptOwnRows)
         m_ownRows.pop_front();
 }
@@ -133,6 +133,8 @@
         sum.teamTotals[team] -= total;
     for (const auto& it : own->loads)
         addLoad(sum.loads, shortNameOf(it.endpoint), -it.inFlight, -it.waitingTokens);
+    for (const auto& [route, counts] : own->trials)
+        sum.versions.trials[route] -= counts;
     for (const auto& [service, demand] : m_ownRow.demand)
         sum.demand[service] -= demand;
     std::erase_if(sum.dutyHolders, [&](const auto& it) { return it.node == m_options.node; });
--- a/modules/peers/fleet_relay.h
+++ b/modules/peers/fleet_relay.h
@@ -95,6 +95,7 @@
         std::uint32_t sequence { 0 };
         TotalsByName teamTotals {};
         std::vector<EndpointLoadReport> loads {};
+        VersionTrials trials {};
     };
 
     bool isStarting(SteadyTime now) const { return now - m_startedAt < m_options.startTime; }
--- a/modules/peers/group_sum.cpp
+++ b/modules/peers/group_sum.cpp
@@ -66,6 +66,7 @@
         addLoad(sum.loads, shortNameOf(it.endpoint), it.inFlight, it.waitingTokens);
     for (const auto& [service, demand] : row.demand)
         sum.demand[service] += demand;
+    addNews(sum.versions, row.versions);
     sum.leavingEndpoints.insert(sum.leavingEndpoints.end(), row.leavingEndpoints.begin(), row.leavingEndpoints.end());
     if (row.holdsDuties)
         sum.dutyHolders.push_back(row.contact());
@@ -86,6 +87,7 @@
         addLoad(sum.loads, endpoint, load.inFlight, load.waitingUnits * SummedLoad::tokensPerUnit);
     for (const auto& [service, demand] : group.demand)
         sum.demand[service] += demand;
+    addNews(sum.versions, group.versions);
     sum.leavingEndpoints.insert(sum.leavingEndpoints.end(), group.leavingEndpoints.begin(), group.leavingEndpoints.end());
     sum.dutyHolders.insert(sum.dutyHolders.end(), group.dutyHolders.begin(), group.dutyHolders.end());
     sum.formerHolders.insert(sum.formerHolders.end(), group.formerHolders.begin(), group.formerHolders.end());
--- a/modules/peers/group_sum.h
+++ b/modules/peers/group_sum.h
@@ -68,6 +68,7 @@
     TotalsByName teamTotals {}; // Grow from the relay's start on.
     std::map<ShortName, SummedLoad> loads {}; // By endpoint.
     std::map<std::string, ServiceDemand> demand {};
+    VersionNews versions {};
     std::vector<EndpointLife> leavingEndpoints {};
     std::vector<PeerContact> dutyHolders {};
     std::vector<FormerHolder> formerHolders {};
@@ -86,7 +87,7 @@
     template <class Archive>
     void serialize(Archive& archive)
     {
-        archive(relay, sequence, nodes, silentNodes, trueMilliseconds, teamTotals, loads, demand, leavingEndpoints, dutyHolders, formerHolders, firstCandidate,
+        archive(relay, sequence, nodes, silentNodes, trueMilliseconds, teamTotals, loads, demand, versions, leavingEndpoints, dutyHolders, formerHolders, firstCandidate,
             endpoints, configuration, watchers, counted, contacts);
     }
 };
--- a/modules/peers/peer_row.h
+++ b/modules/peers/peer_row.h
@@ -5,6 +5,7 @@
 #include "core/net/address.h"
 #include "modules/balance/endpoint_book.h"
 #include "modules/limits/usage_ledger.h"
+#include "modules/rollout/version_news.h"
 #include <algorithm>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
@@ -83,6 +84,7 @@
     std::vector<EndpointLoadReport> loads {};
     std::vector<EndpointLife> leavingEndpoints {};
     std::map<std::string, ServiceDemand> demand {};
+    VersionNews versions {};
 
     bool operator==(const PeerRow&) const = default;
 
@@ -94,7 +96,7 @@
     void serialize(Archive& archive)
     {
         archive(node, lifetime, sequence, ageMilliseconds, zone, gossipAddress, controlAddress, processorPercent, leaving, hasDuties, holdsDuties, leftDutiesFence, trueMilliseconds, configurationVersion, watchesStore, endpointsRevision, teamTotals,
-            loads, leavingEndpoints, demand);
+            loads, leavingEndpoints, demand, versions);
     }
 };
 
--- /dev/null
+++ b/modules/rollout/rollout_keeper.cpp
@@ -0,0 +1,237 @@
+#include "modules/rollout/rollout_keeper.h"
+
+#include "core/log.h"
+#include "modules/control/paged_list.h"
+#include <algorithm>
+#include <asio/redirect_error.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+
+namespace Onyxnotch {
+
+namespace {
+
+    std::uint64_t trueNow(const NodeSummary& summary)
+    {
+        return summary.trueMilliseconds + static_cast<std::uint64_t>(toMilliseconds(steadyNow() - summary.madeAt).count());
+    }
+
+    bool isMixed(const std::map<std::string, unsigned>& versions) { return versions.size() > 1; }
+
+    unsigned countOf(const std::map<std::string, unsigned>& versions, const std::string& version)
+    {
+        auto it = versions.find(version);
+        return it == versions.end() ? 0 : it->second;
+    }
+
+    bool isEnded(RolloutStage stage) { return stage == RolloutStage::Completed || stage == RolloutStage::Reverted; }
+
+} // namespace
+
+RolloutKeeper::RolloutKeeper(asio::io_context& context, ObjectStore& store, TrafficView& view, NodeSummarySlot& summary, VersionShareSlot& shares, Ports ports, const RolloutKeeperOptions& options)
+    : m_context(context)
+    , m_store(store)
+    , m_view(view)
+    , m_summary(summary)
+    , m_shares(shares)
+    , m_ports(std::move(ports))
+    , m_options(options)
+{
+}
+
+asio::awaitable<void> RolloutKeeper::run()
+{
+    asio::steady_timer timer(m_context);
+    while (m_options.enabled) {
+        timer.expires_after(m_options.step);
+        asio::error_code ec;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_await step();
+    }
+}
+
+asio::awaitable<void> RolloutKeeper::step()
+{
+    if (!m_ports.holdsDuties()) {
+        m_hasRead = false;
+        m_rollouts.clear();
+        m_shares.set({});
+        co_return;
+    }
+    auto summary = m_summary.get();
+    m_versions = countVersions();
+    if (isReadDue() && !co_await readOrders(*summary))
+        co_return;
+    for (auto& [name, rollout] : m_rollouts)
+        co_await advance(name, rollout, *summary);
+    tellShares(*summary);
+}
+
+std::map<std::string, RolloutKeeper::VersionCounts> RolloutKeeper::countVersions() const
+{
+    std::map<std::string, VersionCounts> counts;
+    auto list = m_view.endpoints();
+    if (!list)
+        return counts;
+    for (const auto& [id, endpoint] : list->endpoints) {
+        auto& service = counts[endpoint.service];
+        ++service.listed[endpoint.version];
+        if (!endpoint.leaving)
+            ++service.ready[endpoint.version];
+    }
+    return counts;
+}
+
+bool RolloutKeeper::isReadDue() const
+{
+    if (!m_hasRead || steadyNow() - m_readAt >= m_options.readEvery)
+        return true;
+    return std::any_of(m_versions.begin(), m_versions.end(), [this](const auto& it) { return isMixed(it.second.listed) && !m_mixedWhenRead.contains(it.first); });
+}
+
+asio::awaitable<bool> RolloutKeeper::readOrders(const NodeSummary& summary)
+{
+    std::set<std::string> mixed;
+    for (const auto& [service, versions] : m_versions) {
+        if (isMixed(versions.listed))
+            mixed.insert(service);
+    }
+    auto objects = co_await listAll(m_context, m_store, StoreKind::Rollouts);
+    if (!objects)
+        co_return m_hasRead; // What is under way goes on by what was read before.
+    m_hasRead = true;
+    m_readAt = steadyNow();
+    m_mixedWhenRead = std::move(mixed);
+    std::set<std::string> named;
+    for (const auto& it : objects.value().objects) {
+        named.insert(it.name);
+        takeOrder(it, summary);
+    }
+    std::erase_if(m_rollouts, [&](const auto& it) { return !named.contains(it.first); });
+    co_return true;
+}
+
+void RolloutKeeper::takeOrder(const StoreObject& object, const NodeSummary& summary)
+{
+    auto order = m_ports.decode(object);
+    auto configuration = m_view.configuration();
+    bool isKnown = order && configuration && configuration->findService(order.value().service);
+    if (!isKnown) {
+        auto& refused = m_refused[object.name];
+        if (refused != object.revision)
+            logEvent(LogLevel::Error, "rollout_refused", { { "rollout", object.name }, { "error", order ? "no such service" : order.error().message } });
+        refused = object.revision;
+        m_rollouts.erase(object.name);
+        return;
+    }
+    auto known = m_rollouts.find(object.name);
+    bool isSame = known != m_rollouts.end() && known->second.order.version == order.value().version && known->second.order.duration == order.value().duration;
+    if (isSame) {
+        known->second.revision = object.revision;
+        known->second.order = order.value();
+        return;
+    }
+    bool isContinued = order.value().isRecorded();
+    Rollout rollout { .order = order.value(), .revision = object.revision, .plan = RolloutPlan(m_options.plan), .judge = RolloutJudge(m_options.judge) };
+    rollout.orderedAt = isContinued && order.value().record->orderedAt > 0 ? order.value().record->orderedAt : trueNow(summary) - static_cast<std::uint64_t>(m_options.seenLate.count());
+    if (!isContinued)
+        rollout.trialsBefore = summary.versions.trials;
+    if (isContinued && order.value().record->state == RolloutState::Completed)
+        rollout.decision = { .stage = RolloutStage::Completed, .share = 1, .reason = "recorded" };
+    if (isContinued && order.value().record->state == RolloutState::Reverted)
+        rollout.decision = { .stage = RolloutStage::Reverted, .share = 0, .reason = "recorded" };
+    logEvent(LogLevel::Info, "rollout_taken",
+        { { "rollout", object.name }, { "service", rollout.order.service }, { "version", rollout.order.version }, { "duration_ms", rollout.order.duration.count() }, { "ordered_at", rollout.orderedAt }, { "stage", nameOf(rollout.decision.stage) } });
+    m_rollouts.insert_or_assign(object.name, std::move(rollout));
+}
+
+RolloutInput RolloutKeeper::inputOf(Rollout& rollout, const VersionCounts& versions, const NodeSummary& summary) const
+{
+    RolloutInput input { .duration = rollout.order.duration };
+    auto deadline = rollout.orderedAt + static_cast<std::uint64_t>(rollout.order.duration.count());
+    input.left = Milliseconds(static_cast<std::int64_t>(deadline) - static_cast<std::int64_t>(trueNow(summary)));
+    input.targetReady = countOf(versions.ready, rollout.order.version);
+    for (const auto& [version, listed] : versions.listed)
+        input.othersListed += version == rollout.order.version ? 0 : listed;
+    for (auto [route, counts] : summary.versions.trials) {
+        if (route.service != rollout.order.service)
+            continue;
+        if (auto before = rollout.trialsBefore.find(route); before != rollout.trialsBefore.end())
+            counts -= before->second;
+        input.sentInAll += counts.sent;
+        if (route.version == rollout.order.version)
+            input.sentToTarget += counts.sent;
+        else
+            input.runningOnOthers += counts.running();
+    }
+    auto demand = summary.demand.find(rollout.order.service);
+    input.perSecond = demand == summary.demand.end() ? 0 : demand->second.requestsPerSecond;
+    input.verdict = rollout.judge.update(evidenceOf(summary.versions.trials, rollout.order.service, rollout.order.version));
+    for (const auto& it : summary.versions.stopped) {
+        if (it.service == rollout.order.service && it.version == rollout.order.version && it.orderedAt == rollout.orderedAt)
+            input.verdict = RolloutVerdict::Bad;
+    }
+    return input;
+}
+
+asio::awaitable<void> RolloutKeeper::advance(const std::string& name, Rollout& rollout, const NodeSummary& summary)
+{
+    if (!isEnded(rollout.decision.stage)) {
+        auto input = inputOf(rollout, m_versions[rollout.order.service], summary);
+        auto decision = rollout.plan.step(input, steadyNow());
+        if (decision.stage != rollout.decision.stage)
+            logEvent(LogLevel::Info, "rollout_stage",
+                { { "rollout", name }, { "version", rollout.order.version }, { "stage", nameOf(decision.stage) }, { "reason", decision.reason }, { "left_ms", input.left.count() }, { "endpoints", input.targetReady },
+                    { "sent_to_version", static_cast<long>(input.sentToTarget) }, { "sent", static_cast<long>(input.sentInAll) }, { "running_at_others", input.runningOnOthers } });
+        rollout.decision = decision;
+    }
+    auto state = RolloutState::InProgress;
+    if (rollout.decision.stage == RolloutStage::Completed)
+        state = RolloutState::Completed;
+    if (rollout.decision.stage == RolloutStage::Reverted)
+        state = RolloutState::Reverted;
+    RolloutRecord wanted { .version = rollout.order.version, .state = state, .orderedAt = rollout.orderedAt };
+    if (rollout.order.record != wanted)
+        co_await record(name, rollout, state);
+}
+
+asio::awaitable<void> RolloutKeeper::record(const std::string& name, Rollout& rollout, RolloutState state)
+{
+    RolloutRecord value { .version = rollout.order.version, .state = state, .orderedAt = rollout.orderedAt };
+    // Whoever has just lost the duties must not write over what the next holder records.
+    if (!m_ports.holdsDuties())
+        co_return;
+    auto status = m_ports.encode(value);
+    auto written = co_await m_store.recordStatus(StoreKind::Rollouts, name, rollout.revision, status);
+    logEvent(LogLevel::Info, "rollout_recorded", { { "rollout", name }, { "version", value.version }, { "state", status.value("state", "") }, { "result", written ? "written" : written.error().message } });
+    if (written) {
+        rollout.revision = written.value();
+        rollout.order.record = value;
+        co_return;
+    }
+    // It may stand there, or the order may be another one by now.
+    m_hasRead = written.error().code == ErrorCode::Unavailable && m_hasRead;
+}
+
+void RolloutKeeper::tellShares(const NodeSummary& summary)
+{
+    auto toldAt = trueNow(summary);
+    std::vector<VersionShare> shares;
+    std::set<std::string> ordered;
+    for (const auto& [name, rollout] : m_rollouts) {
+        const auto& versions = m_versions[rollout.order.service];
+        bool isOver = isEnded(rollout.decision.stage) && !isMixed(versions.listed);
+        if (isOver)
+            continue;
+        ordered.insert(rollout.order.service);
+        shares.push_back({ .service = rollout.order.service, .version = rollout.order.version, .share = rollout.decision.share, .orderedAt = rollout.orderedAt, .toldAt = toldAt });
+    }
+    // A version that appeared after the last read began may have been ordered since.
+    for (const auto& [service, versions] : m_versions) {
+        if (isMixed(versions.listed) && m_mixedWhenRead.contains(service) && !ordered.contains(service))
+            shares.push_back({ .service = service, .share = 1, .toldAt = toldAt });
+    }
+    m_shares.set(std::move(shares));
+}
+
+} // namespace Onyxnotch
--- a/tests/fakes/platform_stand_in.h
+++ b/tests/fakes/platform_stand_in.h
@@ -30,6 +30,7 @@
         m_server.route("GET", "/objects/([^/]+)/([^/]+)", [this](const HttpRequest& it) { return guarded([&] { return get(it); }); });
         m_server.route("POST", "/objects/([^/]+)", [this](const HttpRequest& it) { return guarded([&] { return create(it); }); });
         m_server.route("PUT", "/objects/([^/]+)/([^/]+)", [this](const HttpRequest& it) { return guarded([&] { return replace(it); }); });
+        m_server.route("PUT", "/objects/([^/]+)/([^/]+)/status", [this](const HttpRequest& it) { return guarded([&] { return recordStatus(it); }); });
         m_server.route("POST", "/(usage|scale)", [this](const HttpRequest& it) { return cloud(it); });
         (void)m_server.start();
     }
@@ -57,6 +58,16 @@
         m_changed.notify_all();
     }
 
+    // What has been recorded of an object; null where nothing has.
+    Json status(const std::string& kind, const std::string& name) const
+    {
+        std::lock_guard lock(m_mutex);
+        auto objects = m_kinds.find(kind);
+        if (objects == m_kinds.end() || !objects->second.contains(name))
+            return {};
+        return objects->second.at(name).status;
+    }
+
     // Every call is refused while it is down; watches end.
     void setDown(bool down)
     {
@@ -92,6 +103,7 @@
     struct Object {
         std::uint64_t revision { 0 };
         Json spec {};
+        Json status {};
         bool deleted { false };
     };
 
@@ -110,12 +122,13 @@
 
     static Json encode(const std::string& name, const Object& object)
     {
-        return { { "metadata", { { "name", name }, { "revision", object.revision }, { "finalizers", Json::array() }, { "deletionPending", false } } }, { "spec", object.spec }, { "status", nullptr } };
+        return { { "metadata", { { "name", name }, { "revision", object.revision }, { "finalizers", Json::array() }, { "deletionPending", false } } }, { "spec", object.spec }, { "status", object.status } };
     }
 
     void store(const std::string& kind, const std::string& name, const Json& spec)
     {
-        m_kinds[kind][name] = { .revision = ++m_revision, .spec = spec };
+        auto& object = m_kinds[kind][name];
+        object = { .revision = ++m_revision, .spec = spec, .status = object.deleted ? Json() : object.status };
         m_changed.notify_all();
     }
 
@@ -185,6 +198,22 @@
         return reply(HttpStatus::ok, encode(name, objects[name]));
     }
 
+    HttpResponse recordStatus(const HttpRequest& request)
+    {
+        auto body = Json::parse(request.body);
+        std::lock_guard lock(m_mutex);
+        auto& objects = m_kinds[request.captures[0]];
+        auto it = objects.find(request.captures[1]);
+        if (it == objects.end() || it->second.deleted)
+            return reply(HttpStatus::notFound, Json::object());
+        if (body["metadata"].contains("revision") && body["metadata"]["revision"] != it->second.revision)
+            return reply(HttpStatus::conflict, encode(it->first, it->second));
+        it->second.status = body["status"];
+        it->second.revision = ++m_revision;
+        m_changed.notify_all();
+        return reply(HttpStatus::ok, encode(it->first, it->second));
+    }
+
     HttpResponse cloud(const HttpRequest& request)
     {
         std::lock_guard lock(m_mutex);
--- a/tests/harness/entry_site.h
+++ b/tests/harness/entry_site.h
@@ -115,16 +115,18 @@
 
     void declare(const Json& configuration) { m_platform.put("config", "main", configuration); }
 
-    Fakes::ScriptedEndpoint& addEndpoint(const std::string& id, Fakes::ScriptedEndpoint::Script script)
+    Fakes::ScriptedEndpoint& addEndpoint(const std::string& id, Fakes::ScriptedEndpoint::Script script, const std::string& version = "v1")
     {
         m_endpoints.push_back(std::make_unique<Fakes::ScriptedEndpoint>(std::move(script)));
-        list(id, m_endpoints.back()->address(), "ready");
+        list(id, m_endpoints.back()->address(), "ready", version);
         return *m_endpoints.back();
     }
 
-    void list(const std::string& id, const Address& address, const std::string& state)
+    void list(const std::string& id, const Address& address, const std::string& state, const std::string& version = "v1")
     {
-        m_platform.put("servers", id, entryOf(address, state));
+        auto entry = entryOf(address, state);
+        entry["version"] = version;
+        m_platform.put("servers", id, entry);
     }
 
     EntryProcess& startNode(const std::string& name, const Json& changes = Json::object())
--- a/tests/modules/control/test_store_follower.cpp
+++ b/tests/modules/control/test_store_follower.cpp
@@ -19,7 +19,7 @@
     std::vector<Milliseconds> waits {};
     std::function<void()> atEnd {};
 
-    asio::awaitable<Result<StoreObjects>> list(StoreKind) override { co_return StoreObjects { .revision = 1 }; }
+    asio::awaitable<Result<StorePage>> listPage(StoreKind, const std::string&) override { co_return StorePage { .objects = { .revision = 1 } }; }
 
     asio::awaitable<Result<StoreObjects>> watch(StoreKind, std::uint64_t revision, Milliseconds wait) override
     {
@@ -35,6 +35,7 @@
     asio::awaitable<Result<std::optional<StoreObject>>> read(StoreKind, const std::string&) override { co_return std::optional<StoreObject>(); }
     asio::awaitable<Result<std::uint64_t>> create(StoreKind, const std::string&, const nlohmann::json&) override { co_return std::uint64_t(1); }
     asio::awaitable<Result<std::uint64_t>> replace(StoreKind, const std::string&, std::uint64_t, const nlohmann::json&) override { co_return std::uint64_t(1); }
+    asio::awaitable<Result<std::uint64_t>> recordStatus(StoreKind, const std::string&, std::uint64_t, const nlohmann::json&) override { co_return std::uint64_t(1); }
 
 private:
     std::vector<bool> m_answers;
