Add usage up only at the holder of the duties

Every node of a fleet added up, four times a second, what all nodes had told it of usage: nodes by windows by teams, some 60,000 counts at 300 nodes and 16 teams, for one node that needs them. Found by reading while looking for what takes all of a relay's processor at 301 nodes; not measured alone.

--- a/modules/control/node_summary.h
+++ b/modules/control/node_summary.h
@@ -32,7 +32,9 @@
     Address peerEndpointsAddress {};
     std::uint64_t peerConfigurationVersion { 0 }; // The highest that a peer has.
     Address peerConfigurationAddress {};
-    WindowCounts usage {}; // Over all nodes.
+    // Over all nodes. Empty where it was not added up: only a node that held the duties when this was made needs it, and it takes the
+    // product of nodes, windows and teams, some 60,000 counts at 300 nodes.
+    std::optional<WindowCounts> usage {};
     Milliseconds usageSettles { 1500 }; // After a window's end: each node tells the holder of the duties once a second at least.
     std::map<std::string, ServiceDemand> demand {}; // Over all nodes, by service.
     VersionNews versions {}; // The same.
--- a/modules/duty/duty_runner.cpp
+++ b/modules/duty/duty_runner.cpp
@@ -194,8 +194,10 @@
 
 asio::awaitable<void> DutyRunner::reportUsage(const NodeSummary& summary)
 {
+    if (!summary.usage)
+        co_return;
     m_reports.setSettle(summary.usageSettles);
-    if (auto report = m_reports.due(summary.usage, trueNow(summary))) {
+    if (auto report = m_reports.due(*summary.usage, trueNow(summary))) {
         auto note = m_note;
         note.report = report;
         if (!co_await writeNote(note))
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -331,6 +331,16 @@
         return result;
     }
 
+    WindowCounts usageOfAll() const
+    {
+        auto sums = peers.usage();
+        for (const auto& [window, counts] : forward.usage.windows()) {
+            for (const auto& [team, count] : counts)
+                sums[window][team] += count;
+        }
+        return sums;
+    }
+
     // What is not in others' messages.
     void addOwn(NodeSummary& result, SteadyTime now)
     {
@@ -339,11 +349,8 @@
         hearVersions(result.versions, now);
         addTrials(result.versions.trials, forward.versions.ownTrials());
         result.versions.stopped = forward.versions.stopped();
-        result.usage = peers.usage();
-        for (const auto& [window, counts] : forward.usage.windows()) {
-            for (const auto& [team, count] : counts)
-                result.usage[window][team] += count;
-        }
+        if (control.holdsDuties)
+            result.usage = usageOfAll();
         for (const auto& [service, demand] : forward.demand.demand())
             result.demand[service] += demand;
     }
