--- a/core/net/frame.h
+++ b/core/net/frame.h
@@ -1,6 +1,7 @@
 // Frames between our own processes: a fixed header, then a message encoded by cereal. The same frame goes over TCP and UDP.
 #pragma once
 
+#include "core/net/bounded_archive.h"
 #include "core/outcome.h"
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/map.hpp>
@@ -84,8 +85,7 @@
     if (frame.type != expected)
         return Error { ErrorCode::InvalidArgument, "unexpected message type" };
     try {
-        std::istringstream stream(frame.payload);
-        cereal::PortableBinaryInputArchive archive(stream);
+        BoundedInputArchive archive(frame.payload);
         Message message;
         archive(message);
         return message;
--- a/modules/control/endpoint_history.h
+++ b/modules/control/endpoint_history.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "core/outcome.h"
-#include "modules/control/object_store.h"
+#include "modules/control/store_objects.h"
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
--- a/modules/control/store_follower.cpp
+++ b/modules/control/store_follower.cpp
@@ -21,8 +21,8 @@
             return "duties";
         case StoreKind::Nodes:
             return "nodes";
-    case StoreKind::Rollouts:
-        return "rollouts";
+        case StoreKind::Rollouts:
+            return "rollouts";
         }
         return "";
     }
--- a/tests/core/net/test_frame.cpp
+++ b/tests/core/net/test_frame.cpp
@@ -50,4 +50,19 @@
     });
 }
 
+// A size that was read from a message was allocated before the bytes were found missing: forty bytes could take all memory.
+BOOST_AUTO_TEST_CASE(a_message_that_claims_more_than_it_holds_is_refused)
+{
+    std::vector<std::string> texts { "a", "b", "c" };
+    auto frame = packMessage(MessageType::Gossip, texts);
+    BOOST_TEST((unpackMessage<std::vector<std::string>>(MessageType::Gossip, frame).value() == texts));
+    auto claims = frame;
+    for (std::size_t at = 1; at < 9; ++at) {
+        claims.payload[at] = '\x7F';
+        BOOST_TEST(!unpackMessage<std::vector<std::string>>(MessageType::Gossip, claims));
+    }
+    for (std::size_t n = 0; n < frame.payload.size(); ++n)
+        BOOST_TEST(!unpackMessage<std::vector<std::string>>(MessageType::Gossip, { .type = MessageType::Gossip, .payload = frame.payload.substr(0, n) }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/entry/test_rollouts.cpp
+++ b/tests/entry/test_rollouts.cpp
@@ -75,7 +75,10 @@
         auto status = site.platform().status("rollouts", "s");
         return status.is_null() ? std::string() : status.value("state", "");
     }
-    bool waitState(const std::string& wanted, Milliseconds longest) { return waitUntil([&] { return state() == wanted; }, longest); }
+    bool waitState(const std::string& wanted, Milliseconds longest)
+    {
+        return waitUntil([&] { return state() == wanted; }, longest);
+    }
 
     EntrySite site {};
     Fakes::ScriptedEndpoint* oldEndpoint { nullptr };
