--- a/tests/entry/test_forwarding.cpp
+++ b/tests/entry/test_forwarding.cpp
@@ -418,6 +418,43 @@
     BOOST_TEST((one.node.process->wait(Milliseconds(8000)) == std::optional<int>(0)));
 }
 
+// An endpoint that had left once was never used again under its id.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_starts_again_under_its_id_is_used_again)
+{
+    OneNode one(plainAnswer);
+    auto entry = EntrySite::entryOf(one.endpoint.address(), "draining");
+    entry["born"] = 1764720000000U;
+    one.site.platform().put("servers", "i-1", entry);
+    unsigned count = 0;
+    auto status = [&] { return one.ask(request("GET", "/safe/a", "id-" + std::to_string(++count))).head.status; };
+    BOOST_TEST(waitUntil([&] { return status() == HttpStatus::serviceUnavailable; }));
+    entry["born"] = 1764720009000U;
+    entry["state"] = "ready";
+    one.site.platform().put("servers", "i-1", entry);
+    BOOST_TEST(waitUntil([&] { return status() == HttpStatus::ok; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_entry_ends_its_endpoint_and_no_other)
+{
+    OneNode one(plainAnswer);
+    auto& other = one.site.addEndpoint("i-2", plainAnswer);
+    unsigned count = 0;
+    auto ask = [&] { return one.ask(request("GET", "/safe/a", "id-" + std::to_string(++count))).head.status; };
+    BOOST_TEST(waitUntil([&] { return ask() == HttpStatus::ok && !other.requests().empty(); }));
+    auto entry = EntrySite::entryOf(other.address(), "ready");
+    entry.erase("state");
+    one.site.platform().put("servers", "i-2", entry);
+    one.site.platform().put("servers", "i-3", "no entry at all");
+    // One that names nobody's endpoint changes nothing; the one that was there gets nothing more.
+    auto silent = [&] {
+        auto before = other.requests().size();
+        for (int n = 0; n < 20; ++n)
+            BOOST_TEST(ask() == HttpStatus::ok);
+        return other.requests().size() == before;
+    };
+    BOOST_TEST(waitUntil(silent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(EntryControl)
