--- a/modules/entry/entry_control.h
+++ b/modules/entry/entry_control.h
@@ -69,6 +69,7 @@
 
     // The nodes of the store's list, without this one.
     std::vector<PeerContact> contactsOf(const StoreObjects& nodes) const;
+
     EntryNode& node;
     asio::io_context context { 1 };
     std::unique_ptr<ObjectStore> store;
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -91,6 +91,7 @@
 
     // Not ready at once; what comes until the balancer has noticed is still taken; then everything that runs may end.
     asio::awaitable<void> drain();
+
     const EntryOptions& options;
     TrafficView& view;
     NodeSummarySlot& summary;
--- a/modules/rollout/rollout_keeper.cpp
+++ b/modules/rollout/rollout_keeper.cpp
@@ -24,6 +24,13 @@
         return it == versions.end() ? 0 : it->second;
     }
 
+    RolloutState stateOf(RolloutStage stage)
+    {
+        if (stage == RolloutStage::Completed)
+            return RolloutState::Completed;
+        return stage == RolloutStage::Reverted ? RolloutState::Reverted : RolloutState::InProgress;
+    }
+
     bool isEnded(RolloutStage stage) { return stage == RolloutStage::Completed || stage == RolloutStage::Reverted; }
 
 } // namespace
@@ -63,8 +70,11 @@
     if (isReadDue() && !co_await readOrders(*summary))
         co_return;
     for (auto& [name, rollout] : m_rollouts)
-        co_await advance(name, rollout, *summary);
+        decide(name, rollout, *summary);
+    // First, so that no node goes on sending to a version whose revert can be read already.
     tellShares(*summary);
+    for (auto& [name, rollout] : m_rollouts)
+        co_await record(name, rollout);
 }
 
 std::map<std::string, RolloutKeeper::VersionCounts> RolloutKeeper::countVersions() const
@@ -174,32 +184,24 @@
     return input;
 }
 
-asio::awaitable<void> RolloutKeeper::advance(const std::string& name, Rollout& rollout, const NodeSummary& summary)
+void RolloutKeeper::decide(const std::string& name, Rollout& rollout, const NodeSummary& summary)
 {
-    if (!isEnded(rollout.decision.stage)) {
-        auto input = inputOf(rollout, m_versions[rollout.order.service], summary);
-        auto decision = rollout.plan.step(input, steadyNow());
-        if (decision.stage != rollout.decision.stage)
-            logEvent(LogLevel::Info, "rollout_stage",
-                { { "rollout", name }, { "version", rollout.order.version }, { "stage", nameOf(decision.stage) }, { "reason", decision.reason }, { "left_ms", input.left.count() }, { "endpoints", input.targetReady },
-                    { "sent_to_version", static_cast<long>(input.sentToTarget) }, { "sent", static_cast<long>(input.sentInAll) }, { "running_at_others", input.runningOnOthers } });
-        rollout.decision = decision;
-    }
-    auto state = RolloutState::InProgress;
-    if (rollout.decision.stage == RolloutStage::Completed)
-        state = RolloutState::Completed;
-    if (rollout.decision.stage == RolloutStage::Reverted)
-        state = RolloutState::Reverted;
-    RolloutRecord wanted { .version = rollout.order.version, .state = state, .orderedAt = rollout.orderedAt };
-    if (rollout.order.record != wanted)
-        co_await record(name, rollout, state);
+    if (isEnded(rollout.decision.stage))
+        return;
+    auto input = inputOf(rollout, m_versions[rollout.order.service], summary);
+    auto decision = rollout.plan.step(input, steadyNow());
+    if (decision.stage != rollout.decision.stage)
+        logEvent(LogLevel::Info, "rollout_stage",
+            { { "rollout", name }, { "version", rollout.order.version }, { "stage", nameOf(decision.stage) }, { "reason", decision.reason }, { "left_ms", input.left.count() }, { "endpoints", input.targetReady },
+                { "sent_to_version", static_cast<long>(input.sentToTarget) }, { "sent", static_cast<long>(input.sentInAll) }, { "running_at_others", input.runningOnOthers } });
+    rollout.decision = decision;
 }
 
-asio::awaitable<void> RolloutKeeper::record(const std::string& name, Rollout& rollout, RolloutState state)
+asio::awaitable<void> RolloutKeeper::record(const std::string& name, Rollout& rollout)
 {
-    RolloutRecord value { .version = rollout.order.version, .state = state, .orderedAt = rollout.orderedAt };
+    RolloutRecord value { .version = rollout.order.version, .state = stateOf(rollout.decision.stage), .orderedAt = rollout.orderedAt };
     // Whoever has just lost the duties must not write over what the next holder records.
-    if (!m_ports.holdsDuties())
+    if (rollout.order.record == value || !m_ports.holdsDuties())
         co_return;
     auto status = m_ports.encode(value);
     auto written = co_await m_store.recordStatus(StoreKind::Rollouts, name, rollout.revision, status);
--- a/modules/rollout/rollout_keeper.h
+++ b/modules/rollout/rollout_keeper.h
@@ -66,8 +66,8 @@
 
     asio::awaitable<void> step();
     asio::awaitable<bool> readOrders(const NodeSummary&);
-    asio::awaitable<void> record(const std::string& name, Rollout&, RolloutState);
-    asio::awaitable<void> advance(const std::string& name, Rollout&, const NodeSummary&);
+    void decide(const std::string& name, Rollout&, const NodeSummary&);
+    asio::awaitable<void> record(const std::string& name, Rollout&);
     void takeOrder(const StoreObject&, const NodeSummary&);
     RolloutInput inputOf(Rollout&, const VersionCounts&, const NodeSummary&) const;
     std::map<std::string, VersionCounts> countVersions() const;
