--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -90,6 +90,7 @@
     if (found.size() > most)
         found.resize(most);
     std::vector<EndpointLife> lives;
+    lives.reserve(found.size());
     for (auto& [since, life] : found)
         lives.push_back(std::move(life));
     return lives;
--- a/modules/rollout/version_gate.cpp
+++ b/modules/rollout/version_gate.cpp
@@ -20,7 +20,8 @@
             ++service.ready[endpoint.version];
     }
     for (auto& [name, service] : m_services) {
-        std::erase_if(service.seenSince, [&](const auto& it) { return !listed.contains({ name, it.first }); });
+        const auto& serviceName = name;
+        std::erase_if(service.seenSince, [&](const auto& it) { return !listed.contains({ serviceName, it.first }); });
         chooseBase(service);
         if (service.ready.size() < 2)
             forgetTrials(name);
