--- a/tests/modules/peers/test_peer_table.cpp
+++ b/tests/modules/peers/test_peer_table.cpp
@@ -79,9 +79,9 @@
 // Found by reading: a time is worked out from what a datagram says, and not every number gives one.
 BOOST_AUTO_TEST_CASE(a_prompt_of_no_possible_size_is_refused)
 {
-    BOOST_TEST((PrefillNotice { .endpoint = "i", .tokens = 54600 }.isSound()));
+    BOOST_TEST((PrefillNotice { .endpoint = { .id = "i" }, .tokens = 54600 }.isSound()));
     for (double tokens : { -1.0, 1e30, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN() })
-        BOOST_TEST(!(PrefillNotice { .endpoint = "i", .tokens = tokens }.isSound()));
+        BOOST_TEST(!(PrefillNotice { .endpoint = { .id = "i" }, .tokens = tokens }.isSound()));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
