--- a/servers/membership/member.h
+++ b/servers/membership/member.h
@@ -23,7 +23,7 @@
 
 // A node as it describes itself, with the state that others have found.
 struct Member {
-    std::string node {}; // The instance id with the role, for instance "kushiro-hall-1/gateway".
+    std::string node {}; // The instance id with the role, for instance "zone-a-1/gateway".
     std::uint64_t incarnation { 0 }; // Chosen at each start of the process; a later start has a higher one.
     std::uint32_t revision { 0 }; // Raised by the node at each change of its own description.
     MemberState state { MemberState::Alive };
