Tell of store objects without a name; drop a parameter that nothing reads

Objects in which no name can be read were left out and counted, and the count went nowhere: a line with the kind and how many, one a second at most. VersionGate::onNews took a time that it did not use.

--- a/modules/control/store_follower.cpp
+++ b/modules/control/store_follower.cpp
@@ -1,6 +1,5 @@
 #include "modules/control/store_follower.h"
 
-#include "core/log.h"
 #include "modules/control/paged_list.h"
 #include <algorithm>
 #include <asio/redirect_error.hpp>
@@ -59,6 +58,12 @@
     m_everConnected = m_everConnected || connected;
 }
 
+void StoreFollower::noteUnnamed(const StoreObjects& objects)
+{
+    if (objects.unnamed > 0 && m_unnamedLines.take(steadyNow()))
+        logEvent(LogLevel::Warning, "store_objects_refused", { { "kind", nameOf(m_kind) }, { "count", objects.unnamed }, { "error", "no name can be read" } });
+}
+
 asio::awaitable<void> StoreFollower::run()
 {
     while (true) {
@@ -84,6 +89,7 @@
     noteResult(page ? nullptr : &page.error());
     if (!page)
         co_return false;
+    noteUnnamed(page.value());
     m_objects.clear();
     for (auto& it : page.value().objects)
         m_objects[it.name] = std::move(it);
@@ -105,6 +111,7 @@
     if (!changes)
         co_return false;
     m_nextWait = std::min(m_nextWait * 2, m_options.watchWait);
+    noteUnnamed(changes.value());
     m_revision = std::max(m_revision, changes.value().revision);
     for (auto& it : changes.value().objects) {
         if (it.deleted)
--- a/modules/control/store_follower.h
+++ b/modules/control/store_follower.h
@@ -1,6 +1,7 @@
 // Follows a kind of objects in the store: lists it, watches for changes, and starts over where the history is gone.
 #pragma once
 
+#include "core/log.h"
 #include "modules/control/object_store.h"
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -50,6 +51,7 @@
     asio::awaitable<void> sleepFor(Milliseconds);
     asio::awaitable<void> idle();
     void noteResult(const Error*);
+    void noteUnnamed(const StoreObjects&);
 
     asio::io_context& m_context;
     ObjectStore& m_store;
@@ -66,6 +68,7 @@
     SteadyTime m_lastFailure {};
     Milliseconds m_nextPause;
     Milliseconds m_nextWait;
+    LogBudget m_unnamedLines { 1 }; // A second: another writer may go on writing them.
     std::minstd_rand m_random { std::random_device {}() };
 };
 
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -244,12 +244,12 @@
     return { .trials = forward.versions.ownTrials(), .shares = *versionShares.get(), .stopped = forward.versions.stopped() };
 }
 
-void EntryNode::RequestSide::hearVersions(VersionNews others, SteadyTime now)
+void EntryNode::RequestSide::hearVersions(VersionNews others)
 {
     if (!options.rollouts.enabled)
         return;
     addNews(others, { .shares = *versionShares.get() });
-    forward.versions.onNews(others, now);
+    forward.versions.onNews(others);
     for (const auto& it : forward.versions.takeNewlyStopped())
         logEvent(LogLevel::Warning, "version_stopped", { { "service", it.service }, { "version", it.version }, { "ordered_at", it.orderedAt } });
 }
@@ -295,7 +295,7 @@
 {
     result.trueMilliseconds = forward.trueMilliseconds();
     result.madeAt = now;
-    hearVersions(result.versions, now);
+    hearVersions(result.versions);
     addTrials(result.versions.trials, forward.versions.ownTrials());
     result.versions.stopped = forward.versions.stopped();
     if (control.holdsDuties)
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -80,7 +80,7 @@
     VersionNews ownVersions() const;
 
     // What the fleet knows of versions that run side by side decides what this node may send to them.
-    void hearVersions(VersionNews others, SteadyTime now);
+    void hearVersions(VersionNews others);
     SummaryOwner summaryOwner() const;
     NodeSummary summarize(const std::vector<const PeerRow*>& alive, SteadyTime now);
     NodeSummary summarize(const GroupSum& others, SteadyTime now);
--- a/modules/rollout/version_gate.cpp
+++ b/modules/rollout/version_gate.cpp
@@ -52,7 +52,7 @@
         m_services[service].judge = RolloutJudge(m_options.judge);
 }
 
-void VersionGate::onNews(const VersionNews& others, SteadyTime)
+void VersionGate::onNews(const VersionNews& others)
 {
     m_othersTrials = others.trials;
     for (const auto& share : others.shares) {
--- a/modules/rollout/version_gate.h
+++ b/modules/rollout/version_gate.h
@@ -37,7 +37,7 @@
 
     void onList(const EndpointList&, SteadyTime now);
     // What the fleet tells, without this node's own trials.
-    void onNews(const VersionNews& others, SteadyTime now);
+    void onNews(const VersionNews& others);
 
     // `selector` is spread evenly over all its values, for instance a hash of the request's id.
     VersionLimits limitsFor(const std::string& service, std::uint64_t selector, SteadyTime now) const;
--- a/tests/modules/rollout/test_rollout.cpp
+++ b/tests/modules/rollout/test_rollout.cpp
@@ -170,14 +170,14 @@
     BOOST_TEST(partOf(gate, "v1", start) == 1);
     gate.onList(listOf(10, 10), start + Milliseconds(100));
     BOOST_TEST(partOf(gate, "v2", start + Milliseconds(5000)) == 0);
-    gate.onNews(told(0.1, 5), start + Milliseconds(5000));
+    gate.onNews(told(0.1, 5));
     BOOST_TEST(std::abs(partOf(gate, "v2", start + Milliseconds(5000)) - 0.1) < 0.04);
     BOOST_TEST(gate.limitsFor("s", 0, start + Milliseconds(5000)).mostEndpoints == 1U);
-    gate.onNews(told(1, 6), start + Milliseconds(6000));
+    gate.onNews(told(1, 6));
     BOOST_TEST(partOf(gate, "v2", start + Milliseconds(6000)) == 1);
     BOOST_TEST(partOf(gate, "v1", start + Milliseconds(6000)) == 0);
     // Late news of an earlier word.
-    gate.onNews(told(0.1, 5), start + Milliseconds(6100));
+    gate.onNews(told(0.1, 5));
     BOOST_TEST(partOf(gate, "v2", start + Milliseconds(6000)) == 1);
 }
 
@@ -186,7 +186,7 @@
     VersionGate gate;
     gate.onList(listOf(10, 0), start);
     gate.onList(listOf(10, 10), start);
-    gate.onNews(told(1, 5, ""), start);
+    gate.onNews(told(1, 5, ""));
     BOOST_TEST(partOf(gate, "v2", start) == 1);
     BOOST_TEST(partOf(gate, "v1", start) == 1);
     VersionGate silent;
@@ -211,22 +211,22 @@
     gate.onList(listOf(10, 10), start);
     VersionNews others = told(0.1, 5);
     others.trials[{ .service = "s", .version = "v1", .route = "r" }] = { .sent = 500, .ended = 500, .good = 495, .bad = 5 };
-    gate.onNews(others, start);
+    gate.onNews(others);
     BOOST_TEST(partOf(gate, "v2", start) > 0);
     VersionRoute route { .service = "s", .version = "v2", .route = "r" };
     for (int n = 0; n < 12; ++n) {
         gate.onSent(route);
         gate.onEnd(route, n % 2 == 0, n % 2 == 1);
     }
-    gate.onNews(others, start);
+    gate.onNews(others);
     BOOST_TEST(partOf(gate, "v2", start) == 0);
     BOOST_TEST(gate.takeNewlyStopped().size() == 1U);
     BOOST_TEST(gate.takeNewlyStopped().empty());
     // An order that follows may bring a mended build under the same name.
-    gate.onNews(told(0.1, 9, "v2", 2), start);
+    gate.onNews(told(0.1, 9, "v2", 2));
     BOOST_TEST(partOf(gate, "v2", start) > 0);
     // What another node has stopped is stopped here.
-    gate.onNews({ .stopped = { { .service = "s", .version = "v2", .orderedAt = 2 } } }, start);
+    gate.onNews({ .stopped = { { .service = "s", .version = "v2", .orderedAt = 2 } } });
     BOOST_TEST(partOf(gate, "v2", start) == 0);
 }
 
