Log what makes a request that comes again the same one

A try is named in the logs by its caller's id, new each time: whether requests that broke with an endpoint were one and the same could not be seen. The digest of team, path and body stands in request and try_failed lines now. No change of logic.

--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -399,7 +399,7 @@
     if (!m_context.failedLines.take(steadyNow()))
         return;
     logEvent(LogLevel::Info, "try_failed",
-        { { "request_id", m_requestId }, { "endpoint", endpoint.listed.id }, { "end", nameOf(end) }, { "try", m_fate.tries() }, { "expected_ms", m_expectedMilliseconds },
+        { { "request_id", m_requestId }, { "digest", digest().text() }, { "endpoint", endpoint.listed.id }, { "end", nameOf(end) }, { "try", m_fate.tries() }, { "expected_ms", m_expectedMilliseconds },
             { "ms", toMilliseconds(steadyNow() - m_sentAt).count() }, { "events", m_events.events() }, { "endpoints_revision", m_endpointsRevision } });
 }
 
@@ -475,6 +475,13 @@
         m_context.usage.count(m_team->name, m_context.trueMilliseconds());
 }
 
+const RequestDigest& Exchange::digest()
+{
+    if (!m_digest)
+        m_digest = digestOf(m_team ? std::string_view(m_team->name) : std::string_view(), m_request.head.value("host"), m_request.head.target, m_request.body);
+    return *m_digest;
+}
+
 std::string Exchange::requestHead(const ListedEndpoint& endpoint) const
 {
     const auto& names = m_context.options.names;
@@ -554,7 +561,7 @@
     if (!budget.take(now))
         return;
     logEvent(LogLevel::Info, "request",
-        { { "request_id", m_requestId }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() },
+        { { "request_id", m_requestId }, { "digest", digest().text() }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() },
             { "team", m_team ? std::string_view(m_team->name) : std::string_view() }, { "endpoint", m_lastEndpoint }, { "choice", m_choiceReason },
             { "expected_ms", m_expectedMilliseconds }, { "unqueued_ms", m_unqueuedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "endpoints_revision", m_endpointsRevision },
             { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_wantedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_fate.tries() }, { "status", status }, { "outcome", outcome }, { "objective_ms", m_route ? m_route->objective.count() : 0L },
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -4,6 +4,7 @@
 #include "modules/forward/endpoint_call.h"
 #include "modules/forward/event_stream.h"
 #include "modules/forward/request_fate.h"
+#include "modules/suspects/request_digest.h"
 
 namespace Onyxnotch {
 
@@ -72,6 +73,7 @@
     double objectiveLeft() const; // In seconds.
     bool isOurStreamAnswer(const HttpHead&) const;
     void countRun();
+    const RequestDigest& digest();
     void writeLog(int status, std::string_view outcome);
 
     ForwardContext& m_context;
@@ -97,6 +99,7 @@
     long m_firstEventMilliseconds { -1 }; // Since the request arrived; -1 where there was none.
     bool m_callerLeft { false };
     RequestFate m_fate {};
+    std::optional<RequestDigest> m_digest {}; // Taken where it is first asked for.
     std::vector<std::string> m_tried {};
     std::string m_lastEndpoint {};
     std::string_view m_choiceReason {};
