--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -18,6 +18,7 @@
         Close,
         Reset,
         Hang, // Nothing more is sent or read until the peer closes.
+        Crash, // The whole endpoint is gone, all its connections with it.
     };
 
     std::string bytes {};
@@ -66,6 +67,13 @@
         return m_requests;
     }
 
+    // Whether it serves nobody any more.
+    bool isStopped() const
+    {
+        std::lock_guard lock(m_mutex);
+        return m_stopped;
+    }
+
     // Connections that their peer has closed.
     unsigned closedByPeer() const
     {
@@ -121,6 +129,10 @@
                 waitForPeer(socket);
                 break;
             }
+            if (answer.ending == ScriptedAnswer::Ending::Crash) {
+                stop();
+                break;
+            }
         }
         std::lock_guard lock(m_mutex);
         asio::error_code ec;
