Count the time for which an instance was suspended

The usual steady clock stands still while an instance is suspended: ages of lists, rows, marks, leases, limits and deadlines came out too young, and a lease that another node had taken since still counted as held. A node logs what it missed. The pauses of coroutines stand once, in core/steady_timer.h.

--- a/core/net/async_connection.h
+++ b/core/net/async_connection.h
@@ -3,10 +3,10 @@
 
 #include "core/clock.h"
 #include "core/net/address.h"
+#include "core/steady_timer.h"
 #include <asio/awaitable.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -64,7 +64,7 @@
     void onReadable();
 
     asio::ip::tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    SteadyTimer m_timer;
     SteadyTime m_deadline {};
     SteadyTime m_armedFor {};
     bool m_armed { false };
--- a/core/net/peer_connection.cpp
+++ b/core/net/peer_connection.cpp
@@ -1,5 +1,6 @@
 #include "core/net/peer_connection.h"
 
+#include "core/steady_timer.h"
 #include <array>
 #include <asio.hpp>
 #include <atomic>
@@ -179,7 +180,7 @@
         }
 
         tcp::socket m_socket;
-        asio::steady_timer m_timer;
+        SteadyTimer m_timer;
         const PeerServer::Handler& m_handler;
         Milliseconds m_readTimeout;
         std::atomic<unsigned>& m_openConnections;
--- a/core/timer_service.cpp
+++ b/core/timer_service.cpp
@@ -1,5 +1,6 @@
 #include "core/timer_service.h"
 
+#include "core/steady_timer.h"
 #include <asio.hpp>
 #include <mutex>
 #include <thread>
@@ -37,7 +38,7 @@
         timer.cancel();
     }
 
-    asio::steady_timer timer;
+    SteadyTimer timer;
     Milliseconds period;
     std::function<void()> callback;
     std::mutex mutex;
--- a/main/entry_main.cpp
+++ b/main/entry_main.cpp
@@ -1,11 +1,11 @@
 #include "core/command_line.h"
 #include "core/file.h"
+#include "core/steady_timer.h"
 #include "main/entry_settings.h"
 #include "platform/cloud_client.h"
 #include "platform/decoders.h"
 #include "platform/store_client.h"
 #include <asio/signal_set.hpp>
-#include <asio/steady_timer.hpp>
 #include <csignal>
 #include <iostream>
 #include <tuple>
@@ -134,7 +134,7 @@
     EntrySettings m_settings; // As the process started, but for the log level.
     std::string m_text; // Of the file, when it was read last.
     asio::io_context m_context { 1 };
-    asio::steady_timer m_timer { m_context };
+    SteadyTimer m_timer { m_context };
     asio::signal_set m_signals { m_context, SIGTERM, SIGINT, SIGHUP };
 };
 
--- a/modules/control/blocked_requests.cpp
+++ b/modules/control/blocked_requests.cpp
@@ -1,11 +1,9 @@
 #include "modules/control/blocked_requests.h"
 
 #include "core/log.h"
+#include "core/steady_timer.h"
 #include "modules/control/paged_list.h"
 #include <algorithm>
-#include <asio/redirect_error.hpp>
-#include <asio/steady_timer.hpp>
-#include <asio/use_awaitable.hpp>
 
 namespace Onyxnotch {
 
@@ -27,14 +25,6 @@
         return KeptRequest { .request = { .team = value["team"], .content = value["content"] }, .round = value["round"], .blockedAt = value["blockedAt"] };
     }
 
-    asio::awaitable<void> sleepFor(asio::io_context& context, Milliseconds duration)
-    {
-        asio::steady_timer timer(context);
-        timer.expires_after(duration);
-        asio::error_code ec;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    }
-
 } // namespace
 
 BlockedRequests::BlockedRequests(asio::io_context& context, ObjectStore& store, Receiver receive, const BlockedRequestsOptions& options)
--- a/modules/control/paged_list.cpp
+++ b/modules/control/paged_list.cpp
@@ -1,8 +1,8 @@
 #include "modules/control/paged_list.h"
 
+#include "core/steady_timer.h"
 #include <algorithm>
 #include <asio/redirect_error.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
 #include <random>
 
@@ -14,16 +14,13 @@
     asio::awaitable<Result<StorePage>> laterPage(asio::io_context& context, ObjectStore& store, StoreKind kind, const std::string& behind, const PagedListOptions& options)
     {
         static thread_local std::minstd_rand random { std::random_device {}() };
-        asio::steady_timer timer(context);
         auto pause = options.shortestPause;
         for (unsigned tries = 1;; ++tries) {
             auto page = co_await store.listPage(kind, behind);
             bool refused = !page && page.error().code == ErrorCode::Unavailable;
             if (!refused || tries >= options.triesOfPage)
                 co_return page;
-            timer.expires_after(Milliseconds(std::uniform_int_distribution<std::int64_t>(pause.count() / 2, pause.count())(random)));
-            asio::error_code ec;
-            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            co_await sleepFor(context, Milliseconds(std::uniform_int_distribution<std::int64_t>(pause.count() / 2, pause.count())(random)));
             pause = std::min(pause * 2, options.longestPause);
         }
     }
--- a/modules/control/store_follower.cpp
+++ b/modules/control/store_follower.cpp
@@ -1,5 +1,6 @@
 #include "modules/control/store_follower.h"
 
+#include "core/steady_timer.h"
 #include "modules/control/paged_list.h"
 #include <algorithm>
 #include <asio/redirect_error.hpp>
@@ -125,7 +126,7 @@
         co_return true;
     m_receiver(m_objects, false);
     // Changes come in bursts, and each call has a price: the next one fetches what comes meanwhile at once.
-    co_await sleepFor(m_options.afterChange);
+    co_await sleepFor(m_context, m_options.afterChange);
     co_return true;
 }
 
@@ -134,22 +135,14 @@
 {
     m_listed = false;
     m_connected = false;
-    co_await sleepFor(m_options.idleStep);
-}
-
-asio::awaitable<void> StoreFollower::sleepFor(Milliseconds duration)
-{
-    asio::steady_timer timer(m_context);
-    timer.expires_after(duration);
-    asio::error_code ec;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    co_await sleepFor(m_context, m_options.idleStep);
 }
 
 // Jittered, so that the nodes of a fleet do not come back in step.
 asio::awaitable<void> StoreFollower::pause()
 {
     std::uniform_int_distribution<std::int64_t> jitter(m_nextPause.count() / 2, m_nextPause.count());
-    co_await sleepFor(Milliseconds(jitter(m_random)));
+    co_await sleepFor(m_context, Milliseconds(jitter(m_random)));
     auto factor = m_pauseFactor ? m_pauseFactor() : 1;
     auto longest = Milliseconds(static_cast<std::int64_t>(static_cast<double>(m_options.longestPause.count()) * factor));
     m_nextPause = std::min(m_nextPause * 2, longest);
--- a/modules/control/store_follower.h
+++ b/modules/control/store_follower.h
@@ -48,7 +48,6 @@
     asio::awaitable<bool> list();
     asio::awaitable<bool> watch();
     asio::awaitable<void> pause();
-    asio::awaitable<void> sleepFor(Milliseconds);
     asio::awaitable<void> idle();
     void noteResult(const Error*);
     void noteUnnamed(const StoreObjects&);
--- a/modules/duty/duty_runner.cpp
+++ b/modules/duty/duty_runner.cpp
@@ -1,8 +1,8 @@
 #include "modules/duty/duty_runner.h"
 
 #include "core/log.h"
+#include "core/steady_timer.h"
 #include <asio/redirect_error.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
 #include <numeric>
 
@@ -47,11 +47,8 @@
 
 asio::awaitable<void> DutyRunner::run()
 {
-    asio::steady_timer timer(m_context);
     while (!m_stopped) {
-        timer.expires_after(m_options.step);
-        asio::error_code ec;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_await sleepFor(m_context, m_options.step);
         co_await step();
     }
     if (m_heldAt != SteadyTime {})
--- a/modules/entry/entry_control.cpp
+++ b/modules/entry/entry_control.cpp
@@ -177,7 +177,7 @@
 asio::awaitable<void> EntryNode::ControlSide::lookAfter()
 {
     while (true) {
-        co_await detail::sleepFor(context, controlStep);
+        co_await sleepFor(context, controlStep);
         flushLog();
         node.m_controlState.holdsDuties = duties.holds();
         node.m_controlState.leftDutiesFence = duties.leftFence();
@@ -190,7 +190,7 @@
 asio::awaitable<void> EntryNode::ControlSide::followConfiguration()
 {
     while (true) {
-        co_await detail::sleepFor(context, controlStep);
+        co_await sleepFor(context, controlStep);
         co_await fetchConfiguration();
     }
 }
@@ -199,12 +199,12 @@
 {
     auto pause = shortestFetchPause;
     while (true) {
-        co_await detail::sleepFor(context, controlStep);
+        co_await sleepFor(context, controlStep);
         if (co_await fetchEndpoints()) {
             pause = shortestFetchPause;
             continue;
         }
-        co_await detail::sleepFor(context, Milliseconds(std::uniform_int_distribution<std::int64_t>(pause.count() / 2, pause.count())(random)));
+        co_await sleepFor(context, Milliseconds(std::uniform_int_distribution<std::int64_t>(pause.count() / 2, pause.count())(random)));
         pause = std::min(pause * 2, longestFetchPause);
     }
 }
@@ -261,7 +261,7 @@
             registered = co_await registerNode(value);
         if (registered && node.m_summary.get()->alivePeers == 0)
             co_await readNodes();
-        co_await detail::sleepFor(context, aloneAfter);
+        co_await sleepFor(context, aloneAfter);
     }
 }
 
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -57,7 +57,7 @@
 {
     auto last = steadyNow();
     while (true) {
-        co_await detail::sleepFor(context, usesRelays() ? relay.period(steadyNow()) : options.gossipPeriod);
+        co_await sleepFor(context, usesRelays() ? relay.period(steadyNow()) : options.gossipPeriod);
         auto now = steadyNow();
         tick(now, std::chrono::duration<double>(now - last).count());
         last = now;
@@ -73,6 +73,7 @@
     peers.forgetOld(now);
     expectNodes();
     forward.demand.tick(seconds);
+    noteSuspension();
     noteBlocked();
     forward.metrics.set("onyxnotch_entry_held_bytes", static_cast<double>(forward.heldBodies.held()));
     if (auto leftOut = forward.answeredLines.takeLeftOut() + forward.failedLines.takeLeftOut())
@@ -260,6 +261,18 @@
         logEvent(LogLevel::Warning, "version_stopped", { { "service", it.service }, { "version", it.version }, { "ordered_at", it.orderedAt } });
 }
 
+void EntryNode::RequestSide::noteSuspension()
+{
+    constexpr Milliseconds worthTelling { 50 }; // The two clocks are read one after the other, with other threads between.
+    auto now = InstanceClock::suspended();
+    auto grown = toMilliseconds(now - suspended);
+    suspended = now;
+    if (grown < worthTelling)
+        return;
+    forward.metrics.increment("onyxnotch_entry_suspended_seconds_total", {}, static_cast<double>(grown.count()) / 1000);
+    logEvent(LogLevel::Warning, "instance_suspended", { { "ms", grown.count() } });
+}
+
 void EntryNode::RequestSide::tellSuspectsSoon()
 {
     if (tellsSuspects)
@@ -267,7 +280,7 @@
     tellsSuspects = true;
     asio::co_spawn(
         context, [this]() -> asio::awaitable<void> {
-            co_await detail::sleepFor(context, suspectsGathered);
+            co_await sleepFor(context, suspectsGathered);
             tellsSuspects = false;
             tellSuspects();
         },
@@ -377,7 +390,7 @@
     auto noticed = began + options.noticedAfter;
     auto end = began + options.grace - options.graceMargin;
     while (steadyNow() < end) {
-        co_await detail::sleepFor(context, detail::drainStep);
+        co_await sleepFor(context, detail::drainStep);
         if (steadyNow() < noticed)
             continue;
         // A balancer that has too few others sends callers here all the same: they had better be refused than cut at the end.
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -3,11 +3,9 @@
 
 #include "core/net/async_http_server.h"
 #include "core/net/http_status.h"
+#include "core/steady_timer.h"
 #include "modules/control/blocked_requests.h"
 #include "modules/entry/entry_node.h"
-#include <asio/redirect_error.hpp>
-#include <asio/steady_timer.hpp>
-#include <asio/use_awaitable.hpp>
 
 namespace Onyxnotch {
 
@@ -15,14 +13,6 @@
 
     constexpr Milliseconds drainStep { 50 };
 
-    inline asio::awaitable<void> sleepFor(asio::io_context& context, Milliseconds duration)
-    {
-        asio::steady_timer timer(context);
-        timer.expires_after(duration);
-        asio::error_code ec;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    }
-
 } // namespace detail
 
 // Everything on the thread that serves requests.
@@ -85,6 +75,9 @@
     // What the fleet knows of versions that run side by side decides what this node may send to them.
     void hearVersions(VersionNews others);
 
+    // The instance was suspended since the last tick: everything that holds a time has aged by as much, and the log says why.
+    void noteSuspension();
+
     // Endpoints end under some request: told within moments, not with the next row.
     void tellSuspectsSoon();
     void tellSuspects();
@@ -120,6 +113,7 @@
     std::uint64_t lifetime;
     std::int64_t ownClockDifference; // As read at the start: a step of the clock later changes nothing.
     SteadyTime startedAt { steadyNow() };
+    SteadyTime::duration suspended { InstanceClock::suspended() };
     std::uint32_t sequence { 0 };
     std::uint32_t ticks { 0 };
     std::uint32_t usagePhase { static_cast<std::uint32_t>(mixHash(std::hash<std::string> {}(options.node), 0) % usageEvery) };
--- a/modules/forward/forward_server.cpp
+++ b/modules/forward/forward_server.cpp
@@ -1,6 +1,7 @@
 #include "modules/forward/forward_server.h"
 
 #include "core/log.h"
+#include "core/steady_timer.h"
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/redirect_error.hpp>
@@ -42,19 +43,15 @@
 // Callers' connections come up meanwhile, and wait to be accepted.
 asio::awaitable<void> ForwardServer::waitUntilKnown()
 {
-    asio::steady_timer pause(m_context.context);
     auto end = steadyNow() + m_context.options.startWait;
     while (steadyNow() < end && !(m_context.view.configuration() && m_context.view.endpoints())) {
-        pause.expires_after(knownStep);
-        asio::error_code ec;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_await sleepFor(m_context.context, knownStep);
     }
 }
 
 asio::awaitable<void> ForwardServer::acceptAll()
 {
     co_await waitUntilKnown();
-    asio::steady_timer pause(m_context.context);
     while (m_acceptor.is_open()) {
         asio::error_code ec;
         auto socket = co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
@@ -62,8 +59,7 @@
             break;
         if (ec) {
             logEvent(LogLevel::Warning, "accept_failed", { { "error", ec.message() } });
-            pause.expires_after(acceptPause);
-            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            co_await sleepFor(m_context.context, acceptPause);
             continue;
         }
         if (m_sessions.size() >= m_context.options.maximumCallers) {
--- a/modules/rollout/rollout_keeper.cpp
+++ b/modules/rollout/rollout_keeper.cpp
@@ -1,10 +1,10 @@
 #include "modules/rollout/rollout_keeper.h"
 
 #include "core/log.h"
+#include "core/steady_timer.h"
 #include "modules/control/paged_list.h"
 #include <algorithm>
 #include <asio/redirect_error.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
 
 namespace Onyxnotch {
@@ -48,11 +48,8 @@
 
 asio::awaitable<void> RolloutKeeper::run()
 {
-    asio::steady_timer timer(m_context);
     while (m_options.enabled) {
-        timer.expires_after(m_options.step);
-        asio::error_code ec;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_await sleepFor(m_context, m_options.step);
         co_await step();
     }
 }
--- a/tests/fakes/fault_proxy.cpp
+++ b/tests/fakes/fault_proxy.cpp
@@ -1,4 +1,5 @@
 // A fault-injecting proxy for TCP and UDP. Each forwarded port has a mode that can be changed while it is in use.
+#include "core/steady_timer.h"
 #include "tests/fakes/fake_program.h"
 #include <array>
 #include <asio.hpp>
@@ -58,7 +59,7 @@
     struct Way {
         std::array<char, 16384> buf;
         long passed { 0 };
-        std::unique_ptr<asio::steady_timer> timer;
+        std::unique_ptr<SteadyTimer> timer;
     };
 
     void pump(tcp::socket& from, tcp::socket& to, Way& way, bool up)
@@ -99,7 +100,7 @@
             forward();
             return;
         }
-        way.timer = std::make_unique<asio::steady_timer>(m_client.get_executor(), Milliseconds(fault->delay));
+        way.timer = std::make_unique<SteadyTimer>(m_client.get_executor(), Milliseconds(fault->delay));
         way.timer->async_wait([forward](const asio::error_code&) { forward(); });
     }
 
--- a/tests/fakes/streaming_endpoint.h
+++ b/tests/fakes/streaming_endpoint.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/net/address.h"
 #include "core/net/http_parser.h"
+#include "core/steady_timer.h"
 #include <asio.hpp>
 #include <thread>
 
@@ -74,7 +75,7 @@
             input.append(buf, size);
         }
         auto bytes = head(parser);
-        asio::steady_timer timer(m_context, steadyNow());
+        SteadyTimer timer(m_context, steadyNow());
         for (unsigned long id = 1; !ec; ++id) {
             bytes += event(id);
             co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
