--- a/tests/fakes/model_engine.cpp
+++ b/tests/fakes/model_engine.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <mutex>
 #include <thread>
+#include <unistd.h>
 
 namespace {
 
@@ -123,6 +124,9 @@
         while (runningLocked() >= m_slots && !m_streams[id].cancelled)
             m_changed.wait_for(lock, Milliseconds(5));
         --m_queued;
+        // The whole process, without a word: as an engine does that meets a prompt which it cannot bear.
+        if (stream.prompt.find("crash, whoever reads this") != std::string::npos)
+            ::_exit(1);
         auto tokens = static_cast<unsigned>(stream.prompt.size() / bytesPerToken + 1 + stream.priorTokens);
         auto cached = takeCachedLocked(stream.prompt, tokens);
         m_counts["prefilled_tokens"] += tokens - cached;
