Block requests under which endpoints end in the own interface too

The same cause: a gateway took a prompt from engine to engine, up to twelve times, and forgot it with the request. ModelRunner and PlainCall ask the same book before each attempt; a lost engine (unreachable after a break, or one that does not know the stream any more) counts, one that leaves does not. Gateways tell four others each 100 ms while there is news, and each second what is blocked.

--- a/modules/gateway/request_server.cpp
+++ b/modules/gateway/request_server.cpp
@@ -13,6 +13,13 @@
 
     constexpr Milliseconds leavingCheckPeriod { 100 };
     constexpr Milliseconds expirePeriod { 1000 };
+    // What was found of requests that end endpoints waits this long at most, and goes on from each node that it is new to. Without news
+    // nothing is sent.
+    constexpr Milliseconds suspectsPeriod { 100 };
+    constexpr std::size_t suspectsFanOut { 4 }; // Three steps reach sixty gateways.
+    constexpr Milliseconds suspectsCall { 500 };
+    // Blocked requests are told again this often, for nodes that have just started or missed it.
+    constexpr Milliseconds suspectsToldAgain { 1000 };
     constexpr Milliseconds successorWait { 1500 };
     constexpr Milliseconds successorPoll { 20 };
     constexpr std::size_t maximumPlainTraces = 10000;
@@ -42,7 +49,8 @@
     , m_metrics(metrics)
     , m_admission(options.admission)
     , m_retries(options.retriesPerRequest, options.retryBurst)
-    , m_runner(options.runner, directory, m_retries, metrics)
+    , m_suspects({ .node = options.node })
+    , m_runner(options.runner, directory, m_retries, m_suspects, metrics)
     , m_ledgers(options.ledgers)
     , m_handover(options.handover, membership, m_ledgers, metrics)
 {
@@ -62,6 +70,7 @@
 {
     m_subscriptions.push_back(m_timers.every(leavingCheckPeriod, [this] { checkLeavingEndpoints(); }));
     m_subscriptions.push_back(m_timers.every(expirePeriod, [this] { expire(); }));
+    m_subscriptions.push_back(m_timers.every(suspectsPeriod, [this] { tellSuspects(); }));
 }
 
 // --- Tickets ---
@@ -269,7 +278,9 @@
     acceptance.requestId = decision.requestId;
     if (acceptance.error || acceptance.forwardTo)
         return acceptance;
-    auto refused = admissionError(caller);
+    auto refused = suspicionError(digestOf(caller.team, chat.service, {}, chat.prompt));
+    if (!refused)
+        refused = admissionError(caller);
     if (!refused)
         refused = latenessError(caller, chat);
     if (refused) {
@@ -370,13 +381,17 @@
         acceptanceLock.unlock();
         return repeatPlain(*decision.known);
     }
-    if (auto refused = admissionError(caller)) {
+    auto refused = suspicionError(digestOf(caller.team, request.service, request.path, request.body));
+    if (!refused)
+        refused = admissionError(caller);
+    if (refused) {
         m_ledgers.finish(decision.requestId, RequestOutcome::NotRun);
         acceptance.error = afresh ? unknownOutcome(refused->reason) : *refused;
         return acceptance;
     }
     m_retries.onRequest();
-    auto call = std::make_shared<PlainCall>(m_options.plain, m_directory, m_retries, m_metrics);
+    request.team = caller.team;
+    auto call = std::make_shared<PlainCall>(m_options.plain, m_directory, m_retries, m_suspects, m_metrics);
     {
         std::lock_guard lock(m_mutex);
         m_plainCalls.emplace(decision.requestId, call);
@@ -488,6 +503,49 @@
     }
 }
 
+std::optional<RequestError> RequestServer::suspicionError(const RequestDigest& digest)
+{
+    return m_suspects.use([&](SuspectBook& book) -> std::optional<RequestError> {
+        auto now = steadyNow();
+        if (book.maySend(digest, now))
+            return std::nullopt;
+        return refusal(HttpStatus::serviceUnavailable, "endpoints end under this request", std::max(book.blockedLeft(digest, now), m_options.comeBack));
+    });
+}
+
+void RequestServer::tellSuspects()
+{
+    auto now = steadyNow();
+    SuspectNews news;
+    m_suspects.use([&](SuspectBook& book) {
+        for (const auto& it : book.takeNewlyBlocked())
+            logEvent(LogLevel::Warning, "request_blocked", { { "digest", it.request.text() }, { "ended_endpoints", book.endedLives(it.request) }, { "round", static_cast<unsigned>(it.round) } });
+        for (const auto& it : book.takeNewlyCleared())
+            logEvent(LogLevel::Info, "request_cleared", { { "digest", it.text() } });
+        bool isNew = book.takeHasNews();
+        isNew = book.takeWorthRelaying() || isNew;
+        if (isNew || now - m_suspectsToldAt >= suspectsToldAgain)
+            news = book.relayedNews(now);
+    });
+    if (news.empty())
+        return;
+    m_suspectsToldAt = now;
+    auto view = m_membership.view();
+    auto others = view->usable(MemberRole::Gateway);
+    std::erase_if(others, [&](const Member& it) { return it.node == view->self.node; });
+    thread_local std::mt19937_64 random { std::random_device {}() };
+    std::shuffle(others.begin(), others.end(), random);
+    others.resize(std::min(others.size(), suspectsFanOut));
+    // One that cannot be reached hears of it from another.
+    for (const auto& it : others)
+        (void)callPeer(it.peerAddress(), packMessage(MessageType::SuspectNotice, news), suspectsCall);
+}
+
+void RequestServer::hearSuspects(const SuspectNews& news)
+{
+    m_suspects.use([&](SuspectBook& book) { book.onNews(news, steadyNow()); });
+}
+
 void RequestServer::expire()
 {
     m_ledgers.expire();
--- a/modules/gateway/request_server.h
+++ b/modules/gateway/request_server.h
@@ -131,6 +131,10 @@
     HandoverReplyMessage adopt(const RequestBatchMessage&);
     void checkLeavingEndpoints();
     void expire();
+    // Tells some other gateways what this one knows of requests under which endpoints end; they tell it on.
+    void tellSuspects();
+    void hearSuspects(const SuspectNews&);
+    std::optional<RequestError> suspicionError(const RequestDigest&);
     void giveUpPlainCalls();
 
     RequestServerOptions m_options;
@@ -141,6 +145,8 @@
     Metrics& m_metrics;
     AdmissionControl m_admission;
     RetryBudget m_retries;
+    SharedSuspects m_suspects;
+    SteadyTime m_suspectsToldAt {}; // Of the timer's callback alone.
     ModelRunner m_runner;
     LedgerBook m_ledgers;
     RequestTable m_table;
--- a/modules/gateway/request_server_leaving.cpp
+++ b/modules/gateway/request_server_leaving.cpp
@@ -102,6 +102,14 @@
 {
     auto malformed = [](const Error& error) { return Frame { .type = MessageType::Error, .payload = error.message }; };
     HandoverReplyMessage reply;
+    if (frame.type == MessageType::SuspectNotice) {
+        auto news = unpackMessage<SuspectNews>(frame.type, frame);
+        if (!news)
+            return malformed(news.error());
+        hearSuspects(news.value());
+        reply.accepted = true;
+        return packMessage(MessageType::HandoverReply, reply);
+    }
     if (frame.type == MessageType::LedgerOffer) {
         auto offer = unpackMessage<LedgerOfferMessage>(frame.type, frame);
         if (!offer)
--- a/modules/request/model_runner.cpp
+++ b/modules/request/model_runner.cpp
@@ -28,6 +28,8 @@
     return static_cast<unsigned>(text.size() / bytesPerToken + 1);
 }
 
+RequestDigest digestOf(const RequestDescription& description) { return digestOf(description.team, description.service, {}, description.prompt); }
+
 std::uint64_t prefixHashOf(std::string_view prompt) { return fastHash(prompt.substr(0, prefixBytes)); }
 
 // What one run of a request has tried so far.
@@ -41,10 +43,11 @@
     LoadTracker::InFlight inFlight;
 };
 
-ModelRunner::ModelRunner(const ModelRunnerOptions& options, const EndpointDirectory& directory, RetryBudget& retries, Metrics& metrics)
+ModelRunner::ModelRunner(const ModelRunnerOptions& options, const EndpointDirectory& directory, RetryBudget& retries, SharedSuspects& suspects, Metrics& metrics)
     : m_options(options)
     , m_directory(directory)
     , m_retries(retries)
+    , m_suspects(suspects)
     , m_metrics(metrics)
 {
 }
@@ -80,11 +83,19 @@
     return resumeAttempt(request, progress);
 }
 
+bool ModelRunner::mayStart(const ActiveRequest& request) const
+{
+    auto digest = digestOf(request.description());
+    return m_suspects.use([&](SuspectBook& book) { return book.maySend(digest, steadyNow()); });
+}
+
 ModelRunner::Step ModelRunner::startAttempt(ActiveRequest& request, Progress& progress) const
 {
     const auto& description = request.description();
     if (progress.attempts >= m_options.maximumAttempts)
         return finish(request, request.mayHaveRun() ? RequestOutcome::Failed : RequestOutcome::NotRun, "no endpoint served it after several attempts");
+    if (!mayStart(request))
+        return finish(request, request.mayHaveRun() ? RequestOutcome::Failed : RequestOutcome::NotRun, "endpoints end under this request");
     auto prefixHash = prefixHashOf(description.prompt);
     auto served = m_directory.servedModel(description.service);
     if (!served)
@@ -140,6 +151,8 @@
         request.setPlace({});
         return Step::Continue;
     }
+    auto life = fastHash(endpoint.id);
+    m_suspects.use([&](SuspectBook& book) { book.onSent(digestOf(description), life); });
     auto end = stream.start(start, [&](const EngineEvent& event) { return receive(request, start.streamId, event); });
     request.detach();
     return afterStream(request, progress, end);
@@ -153,7 +166,7 @@
         progress.resumes = 0;
     progress.sizeAtResume = size;
     if (++progress.resumes > m_options.maximumResumes) {
-        abandonAttempt(request, progress, "the engine could not be reached again");
+        loseEngine(request, progress, "the engine could not be reached again");
         return Step::Continue;
     }
     if (progress.resumes > 1)
@@ -200,10 +213,14 @@
 ModelRunner::Step ModelRunner::afterStream(ActiveRequest& request, Progress& progress, EngineStreamEnd end) const
 {
     switch (end) {
-    case EngineStreamEnd::Completed:
+    case EngineStreamEnd::Completed: {
+        auto life = fastHash(request.place().endpoint);
+        m_suspects.use([&](SuspectBook& book) { book.onAnswered(digestOf(request.description()), life, steadyNow()); });
         return finish(request, RequestOutcome::Completed, "answer whole");
+    }
     case EngineStreamEnd::NotStarted: {
         auto endpoint = request.place().endpoint;
+        m_suspects.use([&](SuspectBook& book) { book.onEnded(digestOf(request.description()), fastHash(endpoint)); });
         progress.excluded.insert(endpoint);
         request.setPlace({});
         request.trace(m_options.node, "refused", endpoint + " did not start it");
@@ -215,17 +232,28 @@
         request.noteMayHaveRun();
         return Step::Continue;
     case EngineStreamEnd::Gone:
+        loseEngine(request, progress, "the engine does not know the stream");
+        return Step::Continue;
     case EngineStreamEnd::WrongOffset:
-        request.noteMayHaveRun();
-        abandonAttempt(request, progress, end == EngineStreamEnd::Gone ? "the engine does not know the stream" : "the engine has no such offset");
+        abandonAttempt(request, progress, "the engine has no such offset");
         return Step::Continue;
     }
     return Step::Continue;
 }
 
+void ModelRunner::loseEngine(ActiveRequest& request, Progress& progress, const std::string& reason) const
+{
+    auto place = request.place();
+    // An engine that is leaving ends without anybody's fault.
+    if (!m_directory.isLeaving(place.endpoint))
+        m_suspects.use([&](SuspectBook& book) { book.onLost(digestOf(request.description()), fastHash(place.endpoint), steadyNow()); });
+    abandonAttempt(request, progress, reason);
+}
+
 void ModelRunner::abandonAttempt(ActiveRequest& request, Progress& progress, const std::string& reason) const
 {
     auto place = request.place();
+    m_suspects.use([&](SuspectBook& book) { book.onEnded(digestOf(request.description()), fastHash(place.endpoint)); });
     request.trace(m_options.node, "abandon", place.endpoint + ": " + reason);
     logEvent(LogLevel::Info, "attempt_abandoned", { { "request_id", request.description().id }, { "endpoint", place.endpoint }, { "reason", reason } });
     progress.excluded.insert(place.endpoint);
@@ -288,8 +316,10 @@
 ModelRunner::Step ModelRunner::finish(ActiveRequest& request, RequestOutcome outcome, const std::string& reason) const
 {
     auto place = request.place();
-    if (outcome != RequestOutcome::Completed && !place.empty())
+    if (outcome != RequestOutcome::Completed && !place.empty()) {
+        m_suspects.use([&](SuspectBook& book) { book.onLeft(digestOf(request.description()), fastHash(place.endpoint), steadyNow()); });
         (void)EngineClient(place.address).cancel(place.attempt);
+    }
     request.trace(m_options.node, toString(outcome), reason);
     request.answer().finish(outcome);
     request.noteFinished();
--- a/modules/request/model_runner.h
+++ b/modules/request/model_runner.h
@@ -6,6 +6,7 @@
 #include "modules/request/active_request.h"
 #include "modules/request/endpoint_directory.h"
 #include "modules/request/reclaim_plan.h"
+#include "modules/suspects/shared_suspects.h"
 #include <functional>
 
 namespace Onyxnotch {
@@ -23,7 +24,7 @@
 
 class ModelRunner {
 public:
-    ModelRunner(const ModelRunnerOptions&, const EndpointDirectory&, RetryBudget&, Metrics&);
+    ModelRunner(const ModelRunnerOptions&, const EndpointDirectory&, RetryBudget&, SharedSuspects&, Metrics&);
 
     // Returns at the final outcome, or where the request was interrupted for a handover. The answer's outcome says which.
     void run(ActiveRequest&) const;
@@ -45,12 +46,17 @@
     bool transferCache(ActiveRequest&, const Endpoint& target) const;
     EventVerdict receive(ActiveRequest&, const std::string& attempt, const EngineEvent&) const;
     Step finish(ActiveRequest&, RequestOutcome, const std::string& reason) const;
+    // The attempt is over, and its engine may live.
     void abandonAttempt(ActiveRequest&, Progress&, const std::string& reason) const;
+    // Its engine is gone, or has started anew since.
+    void loseEngine(ActiveRequest&, Progress&, const std::string& reason) const;
+    bool mayStart(const ActiveRequest&) const;
     std::string newAttemptId() const;
 
     ModelRunnerOptions m_options;
     const EndpointDirectory& m_directory;
     RetryBudget& m_retries;
+    SharedSuspects& m_suspects;
     Metrics& m_metrics;
     mutable std::atomic<std::uint64_t> m_nextAttempt { 1 };
 };
@@ -58,6 +64,9 @@
 // Stands for the tokens of a text where only an estimate is needed.
 unsigned estimateTokens(std::string_view text);
 
+// What makes two model requests the same.
+RequestDigest digestOf(const RequestDescription&);
+
 // Of the beginning of a prompt, which requests of the same kind share.
 std::uint64_t prefixHashOf(std::string_view prompt);
 
--- a/modules/request/plain_call.cpp
+++ b/modules/request/plain_call.cpp
@@ -14,10 +14,11 @@
 
 } // namespace
 
-PlainCall::PlainCall(const PlainCallOptions& options, const EndpointDirectory& directory, RetryBudget& retries, Metrics& metrics)
+PlainCall::PlainCall(const PlainCallOptions& options, const EndpointDirectory& directory, RetryBudget& retries, SharedSuspects& suspects, Metrics& metrics)
     : m_options(options)
     , m_directory(directory)
     , m_retries(retries)
+    , m_suspects(suspects)
     , m_metrics(metrics)
 {
 }
@@ -33,6 +34,11 @@
             reason = "deadline passed";
             break;
         }
+        auto digest = digestOf(request.team, request.service, request.path, request.body);
+        if (!m_suspects.use([&](SuspectBook& book) { return book.maySend(digest, steadyNow()); })) {
+            reason = "endpoints end under this request";
+            break;
+        }
         auto endpoints = m_directory.plainEndpoints(request.service);
         std::erase_if(endpoints, [&](const PlainEndpoint& it) { return tried.contains(it.id); });
         if (endpoints.empty())
@@ -50,7 +56,7 @@
         auto chosen = *std::min_element(endpoints.begin(), endpoints.end(), [&](const auto& left, const auto& right) { return load(left) < load(right); });
         tried.insert(chosen.id);
         auto inFlight = m_directory.loads().begin(chosen.id, 0, 0, 1);
-        auto answer = tryEndpoint(request, chosen, deadline);
+        auto answer = trySuspected(request, chosen, deadline);
         if (!answer) {
             reason = "no endpoint could be reached";
             continue;
@@ -63,6 +69,26 @@
     return { .outcome = mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun, .reason = reason };
 }
 
+// A call whose outcome is unknown may have ended its endpoint; whether it did, good answers tell.
+std::optional<PlainAnswer> PlainCall::trySuspected(const PlainRequest& request, const PlainEndpoint& endpoint, SteadyTime deadline)
+{
+    auto digest = digestOf(request.team, request.service, request.path, request.body);
+    auto life = fastHash(endpoint.id);
+    m_suspects.use([&](SuspectBook& book) { book.onSent(digest, life); });
+    auto answer = tryEndpoint(request, endpoint, deadline);
+    bool isGood = answer && answer->outcome == RequestOutcome::Completed && answer->httpStatus / 100 == 2;
+    bool isLost = answer && answer->outcome == RequestOutcome::Unknown && !m_givenUp && steadyNow() < deadline;
+    m_suspects.use([&](SuspectBook& book) {
+        if (isGood)
+            book.onAnswered(digest, life, steadyNow());
+        else if (isLost)
+            book.onLost(digest, life, steadyNow());
+        else
+            book.onEnded(digest, life);
+    });
+    return answer;
+}
+
 std::optional<PlainAnswer> PlainCall::tryEndpoint(const PlainRequest& request, const PlainEndpoint& endpoint, SteadyTime deadline)
 {
     HttpStream stream(endpoint.address);
--- a/modules/request/plain_call.h
+++ b/modules/request/plain_call.h
@@ -6,12 +6,14 @@
 #include "modules/admission/admission_control.h"
 #include "modules/request/endpoint_directory.h"
 #include "modules/request/request_outcome.h"
+#include "modules/suspects/shared_suspects.h"
 #include <atomic>
 
 namespace Onyxnotch {
 
 struct PlainRequest {
     std::string id {};
+    std::string team {};
     std::string service {};
     std::string method {};
     std::string path {}; // Within the service, with a leading slash.
@@ -42,7 +44,7 @@
 // One call in progress. Another thread may give up on it, which leaves its outcome unknown.
 class PlainCall {
 public:
-    PlainCall(const PlainCallOptions&, const EndpointDirectory&, RetryBudget&, Metrics&);
+    PlainCall(const PlainCallOptions&, const EndpointDirectory&, RetryBudget&, SharedSuspects&, Metrics&);
 
     PlainAnswer run(const PlainRequest&, SteadyTime deadline);
     // Ends run() soon.
@@ -50,11 +52,13 @@
 
 private:
     // Empty where the endpoint certainly did not start it, so that another one may be tried.
+    std::optional<PlainAnswer> trySuspected(const PlainRequest&, const PlainEndpoint&, SteadyTime deadline);
     std::optional<PlainAnswer> tryEndpoint(const PlainRequest&, const PlainEndpoint&, SteadyTime deadline);
 
     PlainCallOptions m_options;
     const EndpointDirectory& m_directory;
     RetryBudget& m_retries;
+    SharedSuspects& m_suspects;
     Metrics& m_metrics;
     std::mutex m_mutex;
     HttpStream* m_stream { nullptr };
