--- a/modules/report/request_account.cpp
+++ b/modules/report/request_account.cpp
@@ -23,6 +23,8 @@
             { "no_configuration", "The node had just started and knew no configuration yet." },
             { "no_service", "Its route names a service that the configuration does not declare." },
             { "no_memory", "The node held as many bytes of requests as it may." },
+            { "blocked", "Endpoints have ended under this same request, whatever its id; no node sends it on." },
+            { "one_at_a_time", "Endpoints have ended under this same request, and another one of it was running at this node." },
             { "no_endpoint", "No endpoint was listed, or none could be connected to; it has not run." },
             { "endpoint_refused", "The endpoints that were tried said that they did not run it." },
             { "endpoint_broke", "An endpoint's answer broke, and the request may have run there." },
@@ -60,6 +62,7 @@
             addStateBefore();
             addOwnLines();
             addEndpoints();
+            addSameRequest();
             addCause();
             return m_text;
         }
@@ -92,6 +95,8 @@
                 auto endpoint = textOf(*it, "endpoint");
                 if (!endpoint.empty())
                     m_endpoints.insert(endpoint);
+                if (m_digest.empty())
+                    m_digest = textOf(*it, "digest");
                 if (it->event == "try_failed")
                     add(*it, "try " + std::to_string(numberOf(*it, "try")) + " at " + endpoint + " ended: " + textOf(*it, "end") + " after " + std::to_string(numberOf(*it, "ms")) + " ms (expected " + std::to_string(numberOf(*it, "expected_ms")) + " ms), " + std::to_string(numberOf(*it, "events")) + " events passed on");
                 else if (it->event == "request")
@@ -126,6 +131,21 @@
             }
         }
 
+        // Tries of the same request under other ids, at endpoints that broke under it.
+        void addSameRequest()
+        {
+            if (m_digest.empty())
+                return;
+            for (const auto& it : m_log.lines) {
+                bool same = textOf(it, "digest") == m_digest && std::find(m_own.begin(), m_own.end(), &it) == m_own.end();
+                auto end = textOf(it, "end");
+                if (same && it.event == "try_failed" && (end == "broken" || end == "stream_broken"))
+                    add(it, "the same request, as " + textOf(it, "request_id") + ", ended at " + textOf(it, "endpoint") + ": " + end);
+                else if (same && it.event == "request_blocked")
+                    add(it, "the same request is blocked, after " + std::to_string(numberOf(it, "ended_endpoints")) + " endpoints ended under it");
+            }
+        }
+
         void addCause()
         {
             if (!m_end) {
@@ -145,6 +165,7 @@
         AccountOptions m_options;
         std::vector<const LogLine*> m_own {};
         const LogLine* m_end { nullptr };
+        std::string m_digest {}; // Of the request; empty in logs that name none.
         std::set<std::string> m_endpoints {};
         std::uint64_t m_from { 0 };
         std::uint64_t m_until { 0 };
--- a/tests/fuzz/fuzz_documents.cpp
+++ b/tests/fuzz/fuzz_documents.cpp
@@ -5,6 +5,7 @@
 #include "core/utf8.h"
 #include "modules/control/endpoint_history.h"
 #include "modules/peers/group_sum.h"
+#include "modules/suspects/suspect_book.h"
 #include "platform/decoders.h"
 #include "platform/store_pages.h"
 #include <cstdlib>
@@ -66,15 +67,29 @@
     (void)history.apply(document);
 }
 
+// Whatever a peer says, the book stays within its bounds.
+void checkSuspects(const SuspectNews& news)
+{
+    constexpr std::size_t most = 16;
+    constexpr SteadyTime now { std::chrono::hours(1) };
+    SuspectBook book({ .mostSuspects = most, .mostBlocked = most });
+    book.onNews(news, now);
+    require(book.blockedRequests() <= most);
+    (void)book.news(now);
+    book.forgetOld(now + std::chrono::hours(48));
+}
+
 void checkMessages(const std::string& bytes)
 {
-    for (auto type : { MessageType::PeerRow, MessageType::ZoneSum, MessageType::PrefillNotice, MessageType::UsageNotice }) {
+    for (auto type : { MessageType::PeerRow, MessageType::ZoneSum, MessageType::PrefillNotice, MessageType::UsageNotice, MessageType::SuspectNotice }) {
         Frame frame { .type = type, .payload = bytes };
         if (auto sum = unpackMessage<GroupSum>(type, frame))
             (void)sum.value().isSound();
         (void)unpackMessage<PeerMessage>(type, frame);
         (void)unpackMessage<PrefillNotice>(type, frame);
         (void)unpackMessage<UsageNotice>(type, frame);
+        if (auto news = unpackMessage<SuspectNews>(type, frame))
+            checkSuspects(news.value());
     }
     (void)decodeFrame(bytes);
 }
--- a/tests/modules/report/test_request_account.cpp
+++ b/tests/modules/report/test_request_account.cpp
@@ -61,6 +61,25 @@
     BOOST_TEST(!holds(text, "i-1"));
 }
 
+BOOST_AUTO_TEST_CASE(a_blocked_request_is_traced_to_the_endpoints_that_it_ended)
+{
+    ParsedLog log;
+    parseLog(R"(
+{"time_ms":1000,"event":"try_failed","instance":"n-1","request_id":"r-1","digest":"07-70","endpoint":"i-1","end":"broken","try":1}
+{"time_ms":2000,"event":"try_failed","instance":"n-2","request_id":"r-2","digest":"07-70","endpoint":"i-2","end":"stream_broken","try":1}
+{"time_ms":2500,"event":"try_failed","instance":"n-2","request_id":"r-9","digest":"07-71","endpoint":"i-9","end":"broken","try":1}
+{"time_ms":3000,"event":"request_blocked","instance":"n-2","digest":"07-70","ended_endpoints":3,"round":0}
+{"time_ms":4000,"event":"request","instance":"n-1","request_id":"r-4","digest":"07-70","route":"read","team":"t","tries":0,"status":503,"outcome":"blocked","ms":0}
+)",
+        log);
+    auto text = requestAccount(log, "r-4");
+    BOOST_TEST(holds(text, "the same request, as r-1, ended at i-1: broken"));
+    BOOST_TEST(holds(text, "the same request, as r-2, ended at i-2: stream_broken"));
+    BOOST_TEST(holds(text, "is blocked, after 3 endpoints ended under it"));
+    BOOST_TEST(!holds(text, "i-9"));
+    BOOST_TEST(holds(text, "Cause: Endpoints have ended under this same request"));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_no_line_names_has_no_account) { BOOST_TEST(requestAccount(parsed(), "r-3").empty()); }
 
 BOOST_AUTO_TEST_SUITE_END()
