--- /dev/null
+++ b/tests/soak/soak_main.cpp
@@ -0,0 +1,49 @@
+// Plays soaks by seed and tells which promises broke.
+#include "core/command_line.h"
+#include "tests/soak/soak_run.h"
+#include <iostream>
+
+namespace {
+
+constexpr const char* usage = R"(onyxnotch-soak: real entry processes under faults in series and overlapping, from a seed.
+
+Usage:
+  onyxnotch-soak [--from N] [--seeds N] [--seconds N] [--nodes N] [--endpoints N] [--callers N]
+
+Options:
+  --from N       First seed [default: 1].
+  --seeds N      How many seeds [default: 1].
+  --seconds N    How long faults come in each [default: 12].
+  --nodes N      Entry processes [default: 4].
+  --endpoints N  Endpoints at the start [default: 8].
+  --callers N    Callers [default: 8].
+)";
+
+unsigned long numberOf(const Onyxnotch::CommandLine& arguments, const std::string& name) { return std::stoul(arguments.text(name)); }
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    using namespace Onyxnotch;
+    CommandLine arguments(usage, argc, argv);
+    unsigned broken = 0;
+    auto first = numberOf(arguments, "--from");
+    for (auto seed = first; seed < first + numberOf(arguments, "--seeds"); ++seed) {
+        Tests::SoakOptions options {
+            .seed = seed,
+            .duration = Milliseconds(1000 * numberOf(arguments, "--seconds")),
+            .nodes = static_cast<unsigned>(numberOf(arguments, "--nodes")),
+            .endpoints = static_cast<unsigned>(numberOf(arguments, "--endpoints")),
+            .callers = static_cast<unsigned>(numberOf(arguments, "--callers")),
+        };
+        auto result = Tests::SoakRun(options).play();
+        std::cout << "seed " << seed << ": " << result.faults << " faults, " << result.asked << " asked, " << result.answered << " answered, " << result.refused << " refused, " << result.crashes
+                  << " endpoints crashed, " << result.broken.size() << " promises broken" << std::endl;
+        for (const auto& it : result.broken) {
+            ++broken;
+            std::cout << "BROKEN, seed " << seed << ": " << it.promise << ", request " << it.id << ": " << it.seen << std::endl;
+        }
+    }
+    return static_cast<int>(broken == 0 ? ExitCode::Success : ExitCode::Failed);
+}
--- /dev/null
+++ b/tests/soak/soak_record.h
@@ -0,0 +1,189 @@
+// What callers and endpoints saw in a soak, and which promises that breaks.
+#pragma once
+
+#include "core/clock.h"
+#include "core/net/http_status.h"
+#include "tests/fakes/platform_stand_in.h"
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Onyxnotch::Tests {
+
+enum class SoakKind {
+    Once, // May run once.
+    Safe, // May run again, at two endpoints in all.
+    Stream, // May run once.
+    Resumable, // May go on at a second endpoint.
+    Crashing, // Ends each endpoint that runs it.
+};
+
+// A request as it reached an endpoint.
+struct SoakArrival {
+    std::string id {};
+    SoakKind kind { SoakKind::Once };
+    bool ran { false };
+    SteadyTime at {};
+};
+
+// What its caller got.
+struct SoakOutcome {
+    std::string id {};
+    SoakKind kind { SoakKind::Once };
+    unsigned node { 0 }; // That it was asked of.
+    int status { 0 }; // 0 where the connection ended without an answer.
+    bool whole { false };
+    bool isOwnBody { true }; // What it got is what an endpoint makes of this request, or a part of it.
+    SteadyTime answeredAt {};
+};
+
+struct BrokenPromise {
+    std::string promise {};
+    std::string id {};
+    std::string seen {};
+};
+
+class SoakRecord {
+public:
+    void add(const SoakArrival& arrival)
+    {
+        std::lock_guard lock(m_mutex);
+        m_arrivals.push_back(arrival);
+    }
+
+    void add(const SoakOutcome& outcome)
+    {
+        std::lock_guard lock(m_mutex);
+        m_outcomes.push_back(outcome);
+    }
+
+    // From then on for `contact` longer, that node is not in touch with the others.
+    void noteDisturbance(unsigned node, SteadyTime at)
+    {
+        std::lock_guard lock(m_mutex);
+        m_disturbances[node].push_back(at);
+    }
+
+    void noteCrash(SteadyTime at)
+    {
+        std::lock_guard lock(m_mutex);
+        m_crashes.push_back(at);
+    }
+
+    std::size_t answered() const { return count([](const auto& it) { return it.status == HttpStatus::ok && it.whole; }); }
+    std::size_t refused() const { return count([](const auto& it) { return it.status == HttpStatus::serviceUnavailable || it.status == HttpStatus::tooManyRequests; }); }
+    std::size_t asked() const { return count([](const auto&) { return true; }); }
+    std::size_t crashes() const { return m_crashes.size(); }
+
+    std::vector<BrokenPromise> check() const
+    {
+        std::vector<BrokenPromise> broken;
+        checkRuns(broken);
+        checkOutcomes(broken);
+        checkCrashing(broken);
+        return broken;
+    }
+
+    // A window's report is the same whoever sends it again, and fences never fall.
+    static std::vector<BrokenPromise> checkDuties(const std::vector<Fakes::CloudCall>& calls)
+    {
+        std::vector<BrokenPromise> broken;
+        std::map<std::uint64_t, nlohmann::json> counts;
+        std::uint64_t highest = 0;
+        std::map<std::uint64_t, std::string> holders;
+        for (const auto& it : calls) {
+            if (it.fence < highest)
+                broken.push_back({ "one holder of a duty", "fence " + std::to_string(it.fence), it.holder + " called after fence " + std::to_string(highest) });
+            highest = std::max(highest, it.fence);
+            auto holder = holders.try_emplace(it.fence, it.holder).first->second;
+            if (holder != it.holder)
+                broken.push_back({ "one holder of a duty", "fence " + std::to_string(it.fence), holder + " and " + it.holder });
+            auto window = it.body.value("windowId", std::uint64_t(0));
+            auto known = counts.try_emplace(window, it.body["counts"]).first->second;
+            if (known != it.body["counts"])
+                broken.push_back({ "one report of a window", std::to_string(window), known.dump() + " and " + it.body["counts"].dump() });
+        }
+        return broken;
+    }
+
+private:
+    static constexpr Milliseconds contact { 3000 }; // For news to spread.
+    static constexpr unsigned endedUntilKnown = 3;
+    static constexpr unsigned allowedAfterwards = 3;
+
+    template <typename Predicate>
+    std::size_t count(Predicate predicate) const
+    {
+        std::lock_guard lock(m_mutex);
+        return static_cast<std::size_t>(std::count_if(m_outcomes.begin(), m_outcomes.end(), predicate));
+    }
+
+    std::map<std::string, unsigned> runs() const
+    {
+        std::map<std::string, unsigned> counts;
+        for (const auto& it : m_arrivals)
+            counts[it.id] += it.ran ? 1 : 0;
+        return counts;
+    }
+
+    void checkRuns(std::vector<BrokenPromise>& broken) const
+    {
+        std::lock_guard lock(m_mutex);
+        std::map<std::string, SoakKind> kinds;
+        for (const auto& it : m_arrivals)
+            kinds[it.id] = it.kind;
+        for (const auto& [id, ran] : runs()) {
+            bool once = kinds[id] == SoakKind::Once || kinds[id] == SoakKind::Stream;
+            unsigned most = once ? 1 : 2;
+            if (ran > most)
+                broken.push_back({ once ? "at most once" : "no more tries than the route allows", id, "ran " + std::to_string(ran) + " times" });
+        }
+    }
+
+    void checkOutcomes(std::vector<BrokenPromise>& broken) const
+    {
+        std::lock_guard lock(m_mutex);
+        auto ran = runs();
+        for (const auto& it : m_outcomes) {
+            bool promised = it.status == HttpStatus::serviceUnavailable || it.status == HttpStatus::tooManyRequests;
+            if (promised && ran[it.id] > 0)
+                broken.push_back({ "not run is true", it.id, "status " + std::to_string(it.status) + ", but it ran" });
+            if (!it.isOwnBody)
+                broken.push_back({ "no mixed answers", it.id, "another body" });
+            if (it.status == HttpStatus::notFound || it.status == HttpStatus::unauthorized)
+                broken.push_back({ "no older configuration", it.id, "status " + std::to_string(it.status) });
+        }
+    }
+
+    // Counted only where the node that was asked was not disturbed within the time that news take.
+    void checkCrashing(std::vector<BrokenPromise>& broken) const
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_crashes.size() < endedUntilKnown)
+            return;
+        auto known = m_crashes[endedUntilKnown - 1] + contact;
+        std::map<std::string, unsigned> askedOf;
+        for (const auto& it : m_outcomes)
+            askedOf[it.id] = it.node;
+        unsigned late = 0;
+        for (const auto& it : m_arrivals) {
+            if (it.kind != SoakKind::Crashing || it.at <= known || !askedOf.contains(it.id))
+                continue;
+            auto disturbed = m_disturbances.find(askedOf[it.id]);
+            bool calm = disturbed == m_disturbances.end() || std::none_of(disturbed->second.begin(), disturbed->second.end(), [&](auto at) { return at <= it.at && it.at - at < contact; });
+            late += calm ? 1 : 0;
+        }
+        if (late > allowedAfterwards)
+            broken.push_back({ "a request that ends endpoints is stopped", "", std::to_string(late) + " more arrivals" });
+    }
+
+    mutable std::mutex m_mutex {};
+    std::vector<SoakArrival> m_arrivals {};
+    std::vector<SoakOutcome> m_outcomes {};
+    std::map<unsigned, std::vector<SteadyTime>> m_disturbances {}; // By node.
+    std::vector<SteadyTime> m_crashes {};
+};
+
+} // namespace Onyxnotch::Tests
--- /dev/null
+++ b/tests/soak/soak_run.h
@@ -0,0 +1,443 @@
+// One soak: entry processes before endpoints and a store that fail in series and overlapping, as a seed says, under callers that keep their
+// connections open until a process is gone.
+#pragma once
+
+#include "tests/harness/entry_site.h"
+#include "tests/soak/soak_record.h"
+#include <csignal>
+#include <random>
+#include <thread>
+
+namespace Onyxnotch::Tests {
+
+struct SoakOptions {
+    std::uint64_t seed { 1 };
+    Milliseconds duration { 12000 };
+    unsigned nodes { 4 };
+    unsigned endpoints { 8 };
+    unsigned callers { 8 };
+};
+
+struct SoakResult {
+    std::vector<BrokenPromise> broken {};
+    std::size_t asked { 0 };
+    std::size_t answered { 0 };
+    std::size_t refused { 0 };
+    std::size_t crashes { 0 };
+    unsigned faults { 0 };
+};
+
+class SoakRun {
+public:
+    explicit SoakRun(const SoakOptions& options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+    }
+
+    SoakResult play()
+    {
+        declare();
+        for (unsigned n = 0; n < m_options.endpoints; ++n)
+            addEndpoint();
+        for (unsigned n = 0; n < m_options.nodes; ++n)
+            start(n);
+        std::vector<std::thread> callers;
+        for (unsigned n = 0; n < m_options.callers; ++n)
+            callers.emplace_back([this, n] { call(n); });
+        playFaults();
+        killAll();
+        bool serves = waitUntil([this] { return servedSince(m_servedBefore); }, Milliseconds(12000));
+        m_stopping = true;
+        for (auto& it : callers)
+            it.join();
+        return finish(serves);
+    }
+
+private:
+    using Answer = Fakes::ScriptedAnswer;
+    static constexpr auto crashingBody = "nothing survives this";
+    static constexpr auto secretBody = "a secret of the caller ";
+    static constexpr int streamEvents = 5;
+
+    // How an endpoint behaves towards requests that it may run.
+    enum class Mode {
+        Sound,
+        Refuses,
+        Resets, // Runs it, and its answer is lost.
+        Fails,
+        Garbles,
+    };
+
+    struct Stand {
+        std::string id {};
+        Fakes::ScriptedEndpoint* endpoint { nullptr };
+        std::shared_ptr<std::atomic<Mode>> mode {};
+        bool isGone { false };
+    };
+
+    struct Node {
+        EntryProcess* entry { nullptr };
+        bool isFrozen { false };
+    };
+
+    unsigned random(unsigned below) { return static_cast<unsigned>(m_random() % below); }
+
+    // Two tries everywhere: what may run once must not need the route to say so.
+    void declare()
+    {
+        auto declaration = EntrySite::declaration(++m_version);
+        for (auto& it : declaration["routes"])
+            it["maxAttempts"] = 2;
+        m_site.declare(declaration);
+    }
+
+    void addEndpoint()
+    {
+        auto mode = std::make_shared<std::atomic<Mode>>(Mode::Sound);
+        auto id = "i-" + std::to_string(++m_endpointNumber);
+        auto& endpoint = m_site.addEndpoint(id, [this, mode](const Fakes::ReceivedRequest& it) { return answer(it, *mode); });
+        m_stands.push_back({ .id = id, .endpoint = &endpoint, .mode = mode });
+    }
+
+    static SoakKind kindOf(const Fakes::ReceivedRequest& it)
+    {
+        if (it.body == crashingBody)
+            return SoakKind::Crashing;
+        if (it.head.target.starts_with("/once/"))
+            return SoakKind::Once;
+        if (it.head.target.starts_with("/safe/"))
+            return SoakKind::Safe;
+        return it.head.target.starts_with("/stream/") ? SoakKind::Stream : SoakKind::Resumable;
+    }
+
+    Answer answer(const Fakes::ReceivedRequest& it, Mode mode)
+    {
+        auto kind = kindOf(it);
+        SoakArrival arrival { .id = std::string(it.head.value("attempt-id")), .kind = kind, .ran = mode != Mode::Refuses, .at = steadyNow() };
+        m_record.add(arrival);
+        if (mode == Mode::Refuses)
+            return { .bytes = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
+        if (kind == SoakKind::Crashing) {
+            m_record.noteCrash(steadyNow());
+            return { .ending = Answer::Ending::Crash };
+        }
+        if (mode == Mode::Resets)
+            return { .ending = Answer::Ending::Reset };
+        if (mode == Mode::Fails)
+            return { .bytes = "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: " + arrival.id + "\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n" };
+        if (mode == Mode::Garbles)
+            return { .bytes = "these bytes are no answer\r\n\r\n", .ending = Answer::Ending::Close };
+        if (kind == SoakKind::Once || kind == SoakKind::Safe)
+            return { .bytes = answerTo(it, bodyOf(arrival.id)) };
+        return { .bytes = stream(it) };
+    }
+
+    static std::string bodyOf(const std::string& id) { return "ran " + id; }
+
+    static std::string stream(const Fakes::ReceivedRequest& it)
+    {
+        auto id = std::string(it.head.value("attempt-id"));
+        std::string bytes = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        auto from = it.head.value("last-event-id");
+        for (int n = from.empty() ? 1 : std::stoi(std::string(from)) + 1; n <= streamEvents; ++n) {
+            auto event = eventOf(id, n);
+            char size[16];
+            std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+            bytes += size + event + "\r\n";
+        }
+        return bytes + "0\r\n\r\n";
+    }
+
+    static std::string eventOf(const std::string& id, int n) { return "id: " + std::to_string(n) + "\ndata: " + bodyOf(id) + "\n\n"; }
+
+    static std::string wholeStream(const std::string& id)
+    {
+        std::string text;
+        for (int n = 1; n <= streamEvents; ++n)
+            text += eventOf(id, n);
+        return text;
+    }
+
+    // --- Callers ---
+
+    struct Asked {
+        unsigned node { 0 };
+        Address address {};
+    };
+
+    std::optional<Asked> someNode(std::mt19937_64& random)
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_addresses.empty())
+            return std::nullopt;
+        return m_addresses[random() % m_addresses.size()];
+    }
+
+    void call(unsigned caller)
+    {
+        std::mt19937_64 random(m_options.seed * 1000 + caller);
+        std::unique_ptr<RawCaller> connection;
+        unsigned node = 0;
+        for (unsigned n = 0; !m_stopping; ++n) {
+            auto asked = someNode(random);
+            if (!asked)
+                continue;
+            try {
+                // A connection is kept until its process is gone, or now and then given up.
+                if (!connection || random() % 10 == 0) {
+                    connection = std::make_unique<RawCaller>(asked->address);
+                    node = asked->node;
+                }
+                if (!ask(*connection, node, "c" + std::to_string(caller) + "-" + std::to_string(n), random))
+                    connection.reset();
+            } catch (const std::exception&) {
+                connection.reset(); // Nobody listens there any more.
+            }
+        }
+    }
+
+    // False where the connection cannot be used again.
+    bool ask(RawCaller& connection, unsigned node, const std::string& id, std::mt19937_64& random)
+    {
+        static constexpr std::array<std::pair<SoakKind, const char*>, 4> kinds { { { SoakKind::Once, "/once/a" }, { SoakKind::Safe, "/safe/a" }, { SoakKind::Stream, "/stream/a" }, { SoakKind::Resumable, "/resume/a" } } };
+        auto [kind, path] = kinds[random() % kinds.size()];
+        bool crashing = m_crashing && random() % 8 == 0;
+        connection.send(request("POST", path, id, "", crashing ? std::string(crashingBody) : secretBody + id));
+        auto answer = connection.read();
+        SoakOutcome outcome { .id = id, .kind = crashing ? SoakKind::Crashing : kind, .node = node, .status = answer.head.status, .whole = answer.whole, .answeredAt = steadyNow() };
+        bool ok = answer.head.status == HttpStatus::ok;
+        bool plain = kind == SoakKind::Once || kind == SoakKind::Safe;
+        auto expected = plain ? bodyOf(id) : wholeStream(id);
+        if (ok && !crashing)
+            outcome.isOwnBody = answer.whole ? answer.body == expected : expected.starts_with(answer.body);
+        m_record.add(outcome);
+        if (ok && answer.whole)
+            ++m_served;
+        return answer.whole && answer.head.keepAlive;
+    }
+
+    bool servedSince(unsigned before) const { return m_served > before + m_options.callers; }
+
+    // --- Faults ---
+
+    void start(unsigned n)
+    {
+        auto& node = m_site.startNode("node-" + std::to_string(n));
+        if (n >= m_nodes.size())
+            m_nodes.resize(n + 1);
+        m_nodes[n] = { .entry = &node };
+        EntrySite::waitReady(node);
+        tellAddresses();
+    }
+
+    void tellAddresses()
+    {
+        std::lock_guard lock(m_mutex);
+        m_addresses.clear();
+        for (unsigned n = 0; n < m_nodes.size(); ++n) {
+            if (m_nodes[n].entry)
+                m_addresses.push_back({ .node = n, .address = m_nodes[n].entry->callers });
+        }
+    }
+
+    // Later steps of a fault, so that faults overlap.
+    void later(Milliseconds delay, std::function<void()> step) { m_steps.emplace(steadyNow() + delay, std::move(step)); }
+
+    void playFaults()
+    {
+        auto end = steadyNow() + m_options.duration;
+        auto next = steadyNow() + Milliseconds(500);
+        while (steadyNow() < end || !m_steps.empty()) {
+            if (!m_steps.empty() && steadyNow() >= m_steps.begin()->first) {
+                auto step = m_steps.extract(m_steps.begin());
+                step.mapped()();
+            } else if (steadyNow() >= next && steadyNow() < end) {
+                ++m_faults;
+                playFault();
+                next = steadyNow() + Milliseconds(100 + random(500));
+            } else {
+                std::this_thread::yield();
+                waitUntil([&] { return steadyNow() >= next || (!m_steps.empty() && steadyNow() >= m_steps.begin()->first); }, Milliseconds(50));
+            }
+        }
+        for (unsigned n = 0; n < m_nodes.size(); ++n)
+            thaw(n);
+        m_site.platform().setDown(false);
+        m_site.platform().setHeld(false);
+    }
+
+    void playFault()
+    {
+        auto n = random(m_options.nodes);
+        switch (random(10)) {
+        case 0:
+            return restart(n, SIGKILL);
+        case 1:
+            return restart(n, SIGTERM);
+        case 2:
+            return freeze(n);
+        case 3:
+            return signal(n, SIGHUP);
+        case 4:
+            m_site.platform().setDown(true);
+            return later(Milliseconds(300 + random(1500)), [this] { m_site.platform().setDown(false); });
+        case 5:
+            m_site.platform().setHeld(true);
+            return later(Milliseconds(300 + random(1500)), [this] { m_site.platform().setHeld(false); });
+        case 6:
+            return declare();
+        case 7:
+            return misbehave();
+        case 8:
+            return replaceEndpoint();
+        default:
+            m_crashing = true;
+            return later(Milliseconds(2500), [this] { m_crashing = false; });
+        }
+    }
+
+    void signal(unsigned n, int number)
+    {
+        if (m_nodes[n].entry)
+            m_nodes[n].entry->process->signal(number);
+    }
+
+    void restart(unsigned n, int number)
+    {
+        if (!m_nodes[n].entry)
+            return;
+        m_record.noteDisturbance(n, steadyNow());
+        thaw(n);
+        signal(n, number);
+        // Callers still go there for a while, and those that are connected stay until the process is gone.
+        later(Milliseconds(number == SIGKILL ? 20 : 2500), [this, n] {
+            if (!m_nodes[n].entry)
+                return;
+            m_nodes[n].entry->process->wait(Milliseconds(8000));
+            m_nodes[n].entry = nullptr;
+            tellAddresses();
+            start(n);
+            m_record.noteDisturbance(n, steadyNow());
+        });
+    }
+
+    void freeze(unsigned n)
+    {
+        auto& node = m_nodes[n];
+        if (!node.entry || node.isFrozen)
+            return;
+        m_record.noteDisturbance(n, steadyNow());
+        node.isFrozen = node.entry->process->freeze();
+        later(Milliseconds(200 + random(2000)), [this, n] { thaw(n); });
+    }
+
+    void thaw(unsigned n)
+    {
+        if (!m_nodes[n].entry || !m_nodes[n].isFrozen)
+            return;
+        m_nodes[n].entry->process->thaw();
+        m_nodes[n].isFrozen = false;
+        m_record.noteDisturbance(n, steadyNow());
+    }
+
+    void misbehave()
+    {
+        auto& stand = m_stands[random(static_cast<unsigned>(m_stands.size()))];
+        static constexpr std::array modes { Mode::Refuses, Mode::Resets, Mode::Fails, Mode::Garbles };
+        *stand.mode = modes[random(modes.size())];
+        later(Milliseconds(500 + random(1500)), [mode = stand.mode] { *mode = Mode::Sound; });
+    }
+
+    // One goes, with or without a word, and another one comes; so do those that crashed.
+    void replaceEndpoint()
+    {
+        auto n = random(static_cast<unsigned>(m_stands.size()));
+        if (!m_stands[n].isGone) {
+            if (random(2) == 0)
+                m_site.list(m_stands[n].id, m_stands[n].endpoint->address(), "draining");
+            later(Milliseconds(2500), [this, n] { removeEndpoint(n); });
+            addEndpoint();
+        }
+        for (unsigned it = 0; it < m_stands.size(); ++it) {
+            if (m_stands[it].endpoint->isStopped() && !m_stands[it].isGone) {
+                removeEndpoint(it);
+                addEndpoint();
+            }
+        }
+    }
+
+    void removeEndpoint(unsigned n)
+    {
+        m_stands[n].isGone = true;
+        m_stands[n].endpoint->stop();
+        m_site.platform().remove("servers", m_stands[n].id);
+    }
+
+    void killAll()
+    {
+        m_crashing = false;
+        m_servedBefore = m_served;
+        for (unsigned it = 0; it < m_stands.size(); ++it)
+            *m_stands[it].mode = Mode::Sound;
+        unsigned sound = 0;
+        for (const auto& it : m_stands)
+            sound += it.endpoint->isStopped() ? 0 : 1;
+        for (; sound < m_options.endpoints; ++sound)
+            addEndpoint();
+        for (unsigned n = 0; n < m_nodes.size(); ++n)
+            signal(n, SIGKILL);
+        m_servedBefore = m_served;
+        for (unsigned n = 0; n < m_nodes.size(); ++n) {
+            if (m_nodes[n].entry)
+                m_nodes[n].entry->process->wait(Milliseconds(5000));
+            start(n);
+        }
+    }
+
+    // --- The end ---
+
+    SoakResult finish(bool serves)
+    {
+        SoakResult result { .broken = m_record.check(), .asked = m_record.asked(), .answered = m_record.answered(), .refused = m_record.refused(), .crashes = m_record.crashes(), .faults = m_faults };
+        auto duties = SoakRecord::checkDuties(m_site.platform().cloudCalls("/usage"));
+        result.broken.insert(result.broken.end(), duties.begin(), duties.end());
+        if (!serves)
+            result.broken.push_back({ "serving again after all died", "", "not within 12 s" });
+        for (const auto& it : m_nodes) {
+            if (it.entry)
+                checkLog(*it.entry->process, result.broken);
+        }
+        return result;
+    }
+
+    // Neither keys nor bodies stand in any line.
+    static void checkLog(const Process& process, std::vector<BrokenPromise>& broken)
+    {
+        for (const auto& line : process.lines()) {
+            for (const auto* secret : { "key-a", secretBody, crashingBody }) {
+                if (line.find(secret) != std::string::npos)
+                    broken.push_back({ "no keys or bodies in logs", "", line.substr(0, 200) });
+            }
+        }
+    }
+
+    SoakOptions m_options;
+    std::mt19937_64 m_random;
+    SoakRecord m_record {};
+    std::uint64_t m_version { 0 };
+    unsigned m_endpointNumber { 0 };
+    unsigned m_faults { 0 };
+    std::vector<Stand> m_stands {};
+    std::vector<Node> m_nodes {};
+    std::multimap<SteadyTime, std::function<void()>> m_steps {};
+    std::mutex m_mutex {};
+    std::vector<Asked> m_addresses {}; // Of nodes that callers may ask.
+    std::atomic<bool> m_stopping { false };
+    std::atomic<bool> m_crashing { false };
+    std::atomic<unsigned> m_served { 0 };
+    unsigned m_servedBefore { 0 };
+    EntrySite m_site {}; // Last: its endpoints' threads use what stands before.
+};
+
+} // namespace Onyxnotch::Tests
