Count a good answer from when its request was sent, and let only who saw it object

What was sent before a request turned spoke for it for as long as it ran, and nodes that had only been told told it on without end.

--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -422,7 +422,7 @@
     auto now = steadyNow();
     bool isAnswered = (end == TryEnd::Delivered || end == TryEnd::CallerLeft) && call.whole() && call.head().status / 100 == 2;
     if (isAnswered)
-        suspects.onAnswered(digest(), life, now);
+        suspects.onAnswered(digest(), life, m_sentAt, now);
     else if (call.lost() && m_context.endpoints.isExpectedToLive(endpoint.life()))
         suspects.onLost(digest(), life, now);
     else if (end == TryEnd::OutOfTime || end == TryEnd::CallerLeft)
--- a/modules/request/model_runner.cpp
+++ b/modules/request/model_runner.cpp
@@ -41,6 +41,7 @@
     Milliseconds backoff { 0 };
     std::optional<SteadyTime> waitingSince; // For an endpoint to appear.
     LoadTracker::InFlight inFlight;
+    SteadyTime sentAt {}; // Of the attempt.
 };
 
 ModelRunner::ModelRunner(const ModelRunnerOptions& options, const EndpointDirectory& directory, RetryBudget& retries, SharedSuspects& suspects, Metrics& metrics)
@@ -152,6 +153,7 @@
         return Step::Continue;
     }
     auto life = fastHash(endpoint.id);
+    progress.sentAt = steadyNow();
     m_suspects.use([&](SuspectBook& book) { book.onSent(digestOf(description), life); });
     auto end = stream.start(start, [&](const EngineEvent& event) { return receive(request, start.streamId, event); });
     request.detach();
@@ -215,7 +217,7 @@
     switch (end) {
     case EngineStreamEnd::Completed: {
         auto life = fastHash(request.place().endpoint);
-        m_suspects.use([&](SuspectBook& book) { book.onAnswered(digestOf(request.description()), life, steadyNow()); });
+        m_suspects.use([&](SuspectBook& book) { book.onAnswered(digestOf(request.description()), life, progress.sentAt, steadyNow()); });
         return finish(request, RequestOutcome::Completed, "answer whole");
     }
     case EngineStreamEnd::NotStarted: {
--- a/modules/request/plain_call.cpp
+++ b/modules/request/plain_call.cpp
@@ -74,13 +74,14 @@
 {
     auto digest = digestOf(request.team, request.service, request.path, request.body);
     auto life = fastHash(endpoint.id);
+    auto sentAt = steadyNow();
     m_suspects.use([&](SuspectBook& book) { book.onSent(digest, life); });
     auto answer = tryEndpoint(request, endpoint, deadline);
     bool isGood = answer && answer->outcome == RequestOutcome::Completed && answer->httpStatus / 100 == 2;
     bool isLost = answer && answer->outcome == RequestOutcome::Unknown && !m_givenUp && steadyNow() < deadline;
     m_suspects.use([&](SuspectBook& book) {
         if (isGood)
-            book.onAnswered(digest, life, steadyNow());
+            book.onAnswered(digest, life, sentAt, steadyNow());
         else if (isLost)
             book.onLost(digest, life, steadyNow());
         else
--- a/modules/suspects/suspect_book.cpp
+++ b/modules/suspects/suspect_book.cpp
@@ -53,6 +53,8 @@
     return known.at != SteadyTime {} && known.request == request && now - known.at < m_options.goodAnswerCounts;
 }
 
+bool SuspectBook::sawAnsweredWell(const RequestDigest& request, SteadyTime now) const { return wasAnsweredWell(request, now) && m_goodAnswers[slotOf(request)].seenHere; }
+
 bool SuspectBook::runs(const RequestDigest& request) const { return m_running.contains(request); }
 
 Milliseconds SuspectBook::blockedTime(const Blocked& blocked) const { return m_options.blockedFor * (1U << std::min<unsigned>(blocked.round, m_options.mostDoublings)); }
@@ -130,11 +132,15 @@
         m_present.erase(present);
 }
 
-void SuspectBook::onAnswered(const RequestDigest& request, std::uint64_t life, SteadyTime now)
+void SuspectBook::onAnswered(const RequestDigest& request, std::uint64_t life, SteadyTime sentAt, SteadyTime now)
 {
     leave(request, life);
-    m_goodAnswers[slotOf(request)] = { .request = request, .at = now };
-    if (m_suspects.contains(request) || m_blocked.contains(request))
+    auto& known = m_goodAnswers[slotOf(request)];
+    if (known.request != request || !known.seenHere || known.at < sentAt)
+        known = { .request = request, .at = sentAt, .seenHere = true };
+    auto suspect = m_suspects.find(request);
+    bool wasBefore = suspect == m_suspects.end() || suspect->second.lastAt <= sentAt;
+    if (wasBefore && (suspect != m_suspects.end() || m_blocked.contains(request)))
         clear(request, true, now);
 }
 
@@ -181,7 +187,7 @@
         return;
     if (wasAnsweredWell(request, now)) {
         // Others may not have seen it answered.
-        if (!foundHere)
+        if (!foundHere && sawAnsweredWell(request, now))
             clear(request, true, now);
         return;
     }
@@ -212,7 +218,7 @@
 
 void SuspectBook::takeBlocked(const BlockedRequest& told, SteadyTime now)
 {
-    if (wasAnsweredWell(told.request, now)) {
+    if (sawAnsweredWell(told.request, now)) {
         clear(told.request, true, now);
         return;
     }
@@ -240,7 +246,8 @@
     if (suspect != m_suspects.end())
         m_suspects.erase(suspect);
     // As good as an answer seen here: this node need not suspect it again at the next end.
-    m_goodAnswers[slotOf(request)] = { .request = request, .at = now };
+    if (!wasAnsweredWell(request, now))
+        m_goodAnswers[slotOf(request)] = { .request = request, .at = now };
     auto& cleared = m_cleared[request];
     m_hasNews = m_hasNews || (foundHere && !cleared.foundHere);
     m_worthRelaying = true;
--- a/modules/suspects/suspect_book.h
+++ b/modules/suspects/suspect_book.h
@@ -30,10 +30,11 @@
     Milliseconds reportTold { 5000 }; // Twenty rows: nobody misses all of them.
     Milliseconds clearedTold { 1000 }; // Four rows.
     Milliseconds goneKept { 60000 }; // For which a life that is gone is remembered: longer than any request runs.
-    // A good answer speaks for a request that comes often: it is not suspected within this time, whatever ends beside it. Simulated, 200 runs
-    // in which a zone is lost and an endpoint ends by itself each second: 1 of 23,848 of a popular request is refused; with 2.5 s 2, with
-    // 30 s none. The price: where such a request turns and ends endpoints from some moment on, 49 are lost; with 30 s 109.
-    Milliseconds goodAnswerCounts { 5000 };
+    // A good answer speaks for a request that comes often: it is not suspected within this time since it was sent, whatever ends beside it.
+    // Simulated, 60 runs in which a zone is lost and an endpoint ends by itself each second: 5 of 7,118 of a popular request are refused; with
+    // 2.5 s 32, with 5 s 1. The price: where such a request turns and ends endpoints from some moment on, 27 are lost; with 2.5 s 23, with
+    // 5 s 36, with 30 s 109.
+    Milliseconds goodAnswerCounts { 3500 };
     // How long after its caller has left, or its time is over, a request may still be what ends its endpoint. An endpoint that falls
     // silent is missed after three heartbeats at most.
     Milliseconds presentAfter { 6000 };
@@ -71,8 +72,8 @@
 
     // The request is sent to that life; exactly one of the ends below follows.
     void onSent(const RequestDigest&, std::uint64_t life);
-    // It was answered well. Clears it.
-    void onAnswered(const RequestDigest&, std::uint64_t life, SteadyTime now);
+    // What was sent at `sentAt` was answered well. It speaks for the request up to then, and clears what was found before.
+    void onAnswered(const RequestDigest&, std::uint64_t life, SteadyTime sentAt, SteadyTime now);
     // It ended in a way that says nothing of the endpoint's life: refused, a failure as the answer.
     void onEnded(const RequestDigest&, std::uint64_t life);
     // Its caller left, or its time is over: it may run on.
@@ -127,7 +128,8 @@
 
     struct GoodAnswer {
         RequestDigest request {};
-        SteadyTime at {};
+        SteadyTime at {}; // When what was answered had been sent.
+        bool seenHere { false }; // Only then does this node object to others: what is told on would speak for a request for ever.
     };
 
     SuspectNews gather(bool withHeard, SteadyTime now);
@@ -136,6 +138,7 @@
     void takeBlocked(const BlockedRequest&, SteadyTime now);
     void clear(const RequestDigest&, bool foundHere, SteadyTime now);
     bool wasAnsweredWell(const RequestDigest&, SteadyTime now) const;
+    bool sawAnsweredWell(const RequestDigest&, SteadyTime now) const;
     bool runs(const RequestDigest&) const;
     void leave(const RequestDigest&, std::uint64_t life);
     SteadyTime forgottenAt(const Blocked&) const;
--- a/tests/modules/suspects/suspect_simulation.h
+++ b/tests/modules/suspects/suspect_simulation.h
@@ -91,6 +91,7 @@
         Request request {};
         unsigned node { 0 };
         std::uint64_t number { 0 };
+        SteadyTime sentAt {};
     };
 
     struct Endpoint {
@@ -162,7 +163,7 @@
         if (request.guilty && thirdEndedAt != SteadyTime {} && m_now - thirdEndedAt > newsBound)
             ++guiltySentLate;
         m_books[node]->onSent(request.digest, endpoint.life);
-        Running running { .request = request, .node = node, .number = ++m_numbers };
+        Running running { .request = request, .node = node, .number = ++m_numbers, .sentAt = m_now };
         endpoint.running.push_back(running);
         auto life = endpoint.life;
         if (request.guilty)
@@ -178,7 +179,7 @@
         if (it == all.end())
             return;
         all.erase(it);
-        m_books[running.node]->onAnswered(running.request.digest, m_endpoints[n].life, m_now);
+        m_books[running.node]->onAnswered(running.request.digest, m_endpoints[n].life, running.sentAt, m_now);
         tellSoon(running.node);
     }
 
--- a/tests/modules/suspects/test_suspect_book.cpp
+++ b/tests/modules/suspects/test_suspect_book.cpp
@@ -113,9 +113,12 @@
     SuspectBook book;
     blockIt(book, start);
     BOOST_TEST(!book.maySend(request, start));
-    // One that was on its way before.
+    // What was sent before the last end says nothing of it.
     book.onSent(request, 9);
-    book.onAnswered(request, 9, start);
+    book.onAnswered(request, 9, start - Milliseconds(1), start);
+    BOOST_TEST(!book.maySend(request, start));
+    book.onSent(request, 9);
+    book.onAnswered(request, 9, start, start);
     BOOST_TEST(book.maySend(request, start));
     BOOST_TEST(book.takeNewlyCleared().size() == 1U);
     blockIt(book, start + Milliseconds(1000));
@@ -130,7 +133,7 @@
     SuspectBook second;
     SuspectBook third;
     third.onSent(request, 9);
-    third.onAnswered(request, 9, start);
+    third.onAnswered(request, 9, start, start);
     endLife(first, 1, start);
     endLife(first, 2, start);
     endLife(second, 3, start);
