--- a/core/clock.h
+++ b/core/clock.h
@@ -18,7 +18,8 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<InstanceClock>;
-    static constexpr bool is_steady = true;
+    // The name is the standard library's.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     static time_point now() noexcept { return time_point(read(CLOCK_BOOTTIME) + duration(leap.load(std::memory_order_relaxed))); }
 
--- a/core/steady_timer.h
+++ b/core/steady_timer.h
@@ -17,8 +17,11 @@
     struct SteadyWaitTraits {
         static constexpr Milliseconds longest { 250 };
 
+        // The names are Asio's.
+        // NOLINTBEGIN(readability-identifier-naming)
         static InstanceClock::duration to_wait_duration(const InstanceClock::duration& duration) { return std::min<InstanceClock::duration>(duration, longest); }
         static InstanceClock::duration to_wait_duration(const SteadyTime& time) { return to_wait_duration(time - steadyNow()); }
+        // NOLINTEND(readability-identifier-naming)
     };
 
 } // namespace detail
