--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -378,8 +378,8 @@
     {
         m_crashing = false;
         m_servedBefore = m_served;
-        for (unsigned it = 0; it < m_stands.size(); ++it)
-            *m_stands[it].mode = Mode::Sound;
+        for (const auto& it : m_stands)
+            *it.mode = Mode::Sound;
         unsigned sound = 0;
         for (const auto& it : m_stands)
             sound += it.endpoint->isStopped() ? 0 : 1;
