--- a/tests/entry/test_crashing_requests.cpp
+++ b/tests/entry/test_crashing_requests.cpp
@@ -116,7 +116,8 @@
 
 BOOST_AUTO_TEST_SUITE(CrashingRequests)
 
-// Before: after the first four tries 14 more of 15 repeats reached an endpoint and ended it, and others were refused for want of one.
+// Before: after the first four tries 15 repeats led to 10 more, each of which ended an endpoint, and others were refused for want of one.
+// After: none.
 BOOST_AUTO_TEST_CASE(a_request_that_ended_three_endpoints_is_not_sent_on_and_the_others_are_served)
 {
     CrashingSite crashing(3);
--- a/tests/promises/test_crashing_requests.cpp
+++ b/tests/promises/test_crashing_requests.cpp
@@ -32,7 +32,7 @@
 
 BOOST_AUTO_TEST_SUITE(CrashingPrompts)
 
-// Before: 8 of 8 engines ended.
+// Before: more than the bound, and no engine was left for others; after: at most four of eight.
 BOOST_AUTO_TEST_CASE(a_prompt_under_which_engines_crash_ends_few_of_them)
 {
     Cluster cluster({ .zones = { "kushiro-hall", "nemuro-hall" }, .controllers = 1, .enginesPerZone = engines / 2 });
