--- a/modules/suspects/suspect_book.h
+++ b/modules/suspects/suspect_book.h
@@ -1,6 +1,6 @@
 // Which requests end the endpoints that run them, over all nodes: what may still be sent and what may not.
 //
-// A request that is the same in team, path and body and was running at three lives of endpoints when they ended unannounced, and that no
+// A request that is the same in team, host, path and body and was running at three lives of endpoints when they ended unannounced, and that no
 // endpoint has answered well since, is blocked: a caller that repeats it could otherwise end every endpoint of the service, and all that
 // runs beside it. Reports of ends, blocked requests and those that are cleared are told to all nodes; a node is wrong for as long as news
 // take, and no longer. Pure, with the time passed in. Belongs to the request thread.
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace Onyxnotch {
 
@@ -43,10 +44,10 @@
     // Until a node may try a blocked request again: another version of the service may run it well. Doubled each round. Each node waits up
     // to twice as long by its name, so that one after the other tries.
     Milliseconds blockedFor { 600000 };
-    unsigned mostDoublings { 7 }; // Then it is a day.
+    unsigned mostDoublings { 7 }; // Then it is some 21 hours.
     std::size_t mostSuspects { 4096 }; // 200 bytes each.
     std::size_t mostBlocked { 1024 }; // 100 bytes each.
-    std::size_t goodAnswersKept { 4096 }; // 24 bytes each.
+    std::size_t goodAnswersKept { 4096 }; // 32 bytes each.
 };
 
 // What may be done with a request.
@@ -61,7 +62,7 @@
     explicit SuspectBook(SuspectOptions options = {});
 
     SuspectVerdict verdict(const RequestDigest&, SteadyTime now) const;
-    // Verdicts put together with what runs here: whether it may be sent now.
+    // The verdict put together with what runs at this node: whether it may be sent now.
     bool maySend(const RequestDigest&, SteadyTime now) const;
     // Whether it may go to a second endpoint within one try of its caller.
     bool maySendAgain(const RequestDigest&, SteadyTime now) const;
