Count the end of a run once, and split what is noted of a request from its course

An attempt of the own interface that lost its engine was told to the book twice, and the second time freed the place of another run of the same request: two could run where one may. An end counts now only where such a run is known (test fails without it). Two loops over what was given up at an endpoint are one.

--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -1,6 +1,5 @@
 #include "modules/forward/exchange.h"
 
-#include "core/log.h"
 #include "core/net/http_status.h"
 #include "modules/admission/deadline_admission.h"
 #include "modules/forward/head_fields.h"
@@ -163,37 +162,6 @@
     return m_context.versions.limitsFor(m_service->name, selector, steadyNow());
 }
 
-void Exchange::noteVersionSent(const ListedEndpoint& endpoint)
-{
-    m_firstEventAt = {};
-    m_isTrial = m_context.options.rollouts && m_context.versions.isMixed(m_service->name);
-    if (m_isTrial)
-        m_context.versions.onSent({ .service = m_service->name, .version = endpoint.version, .route = m_route->name });
-}
-
-// Only answers are evidence of a version: an endpoint that crashed, a zone that was reclaimed or a caller that left says nothing of it.
-void Exchange::noteVersionEnd(const ChosenEndpoint& chosen, TryEnd end)
-{
-    if (!m_context.options.rollouts)
-        return;
-    auto now = steadyNow();
-    bool isStream = m_firstEventAt != SteadyTime {};
-    AnswerTimes times {
-        .firstSeconds = std::chrono::duration<double>((isStream ? m_firstEventAt : now) - m_sentAt).count(),
-        .expectedSeconds = isStream ? chosen.expectedSeconds : 0,
-        .restSeconds = isStream ? std::chrono::duration<double>(now - m_firstEventAt).count() : 0,
-        .restEvents = isStream ? static_cast<unsigned>(m_events.events()) : 0,
-    };
-    bool isSlow = end == TryEnd::Delivered && m_context.pace.isSlow(m_route->name, times);
-    if (m_isTrial) {
-        bool isBad = end == TryEnd::FailedAnswer || isSlow;
-        m_context.versions.onEnd({ .service = m_service->name, .version = chosen.endpoint->listed.version, .route = m_route->name }, end == TryEnd::Delivered && !isSlow, isBad);
-    }
-    bool isKnownVersion = !m_context.versions.isOnTrial(m_service->name, chosen.endpoint->listed.version);
-    if (end == TryEnd::Delivered && isKnownVersion)
-        m_context.pace.observe(m_route->name, times);
-}
-
 int Exchange::priority() const { return m_team && m_team->priority ? *m_team->priority : m_route->priority; }
 
 bool Exchange::isOnTime(const ChosenEndpoint& chosen) const
@@ -391,91 +359,6 @@
     co_return TryEnd::Delivered;
 }
 
-void Exchange::noteFirstEvent(const ChosenEndpoint& chosen)
-{
-    auto seconds = std::chrono::duration<double>(steadyNow() - m_sentAt).count();
-    if (m_firstEventMilliseconds < 0)
-        m_context.demand.onFirstEvent(m_service->name);
-    m_firstEventMilliseconds = toMilliseconds(steadyNow() - m_request.arrivedAt).count();
-    m_firstEventAt = steadyNow();
-    m_flight->prefilled();
-    // Only a request that found nothing waiting, and that nothing came beside, tells how fast a prompt is read.
-    if (m_waitingTokens == 0 && m_context.endpoints.waitingTokens(*chosen.endpoint, steadyNow()) == 0)
-        m_context.endpoints.observeFirstEvent(chosen.uncachedTokens, seconds);
-}
-
-void Exchange::noteChoice(const ChosenEndpoint& chosen)
-{
-    m_lastEndpoint = chosen.endpoint->listed.id;
-    m_choiceReason = chosen.reason;
-    m_expectedMilliseconds = static_cast<long>(chosen.expectedSeconds * 1000);
-    m_unqueuedMilliseconds = static_cast<long>(chosen.unqueuedSeconds * 1000);
-    m_uncachedTokens = static_cast<long>(chosen.uncachedTokens);
-    m_waitingTokens = static_cast<long>(chosen.waitingTokens);
-}
-
-// What the end of a try says of the request. An endpoint that announced its leave, or is no longer listed, ends without anybody's fault.
-void Exchange::noteLife(const EndpointCall& call, const ListedEndpoint& endpoint, TryEnd end)
-{
-    auto& suspects = m_context.suspects;
-    auto life = hashOf(endpoint.life());
-    auto now = steadyNow();
-    bool isAnswered = (end == TryEnd::Delivered || end == TryEnd::CallerLeft) && call.whole() && call.head().status / 100 == 2;
-    if (isAnswered)
-        suspects.onAnswered(digest(), life, m_sentAt, now);
-    else if (call.lost() && m_context.endpoints.isExpectedToLive(endpoint.life()))
-        suspects.onLost(digest(), life, now);
-    else if (end == TryEnd::OutOfTime || end == TryEnd::CallerLeft)
-        suspects.onLeft(digest(), life, now);
-    else
-        suspects.onEnded(digest(), life);
-    if (suspects.takeHasNews() && m_context.tellSuspects)
-        m_context.tellSuspects();
-}
-
-// A request that waited for a slot does not tell how long it held it.
-void Exchange::noteSlotTime(const ChosenEndpoint& chosen)
-{
-    if (chosen.slotFree)
-        m_context.endpoints.observeSlot(m_service->name, std::chrono::duration<double>(steadyNow() - m_sentAt).count());
-}
-
-// A try that did not deliver: what the next decision follows from.
-void Exchange::writeTryLog(const EndpointState& endpoint, TryEnd end)
-{
-    m_context.metrics.increment("onyxnotch_failed_tries_total", { { "end", std::string(nameOf(end)) } });
-    if (!m_context.failedLines.take(steadyNow()))
-        return;
-    logEvent(LogLevel::Info, "try_failed",
-        { { "request_id", m_requestId }, { "digest", digest().text() }, { "endpoint", endpoint.listed.id }, { "end", nameOf(end) }, { "ended_endpoints", m_context.suspects.endedLives(digest()) }, { "try", m_fate.tries() }, { "expected_ms", m_expectedMilliseconds },
-            { "ms", toMilliseconds(steadyNow() - m_sentAt).count() }, { "events", m_events.events() }, { "endpoints_revision", m_endpointsRevision } });
-}
-
-void Exchange::noteOutcome(EndpointState& endpoint, TryEnd end)
-{
-    if (end != TryEnd::Delivered)
-        writeTryLog(endpoint, end);
-    switch (end) {
-    case TryEnd::Delivered:
-        endpoint.health.onSuccess();
-        return;
-    case TryEnd::NotSent:
-        endpoint.health.onUnreachable(steadyNow());
-        return;
-    case TryEnd::MayHaveRun:
-    case TryEnd::StreamBroken:
-    case TryEnd::FailedAnswer:
-    case TryEnd::OutOfTime:
-        endpoint.health.onFailure(steadyNow());
-        return;
-    case TryEnd::NoConnectionLeft:
-    case TryEnd::Withheld:
-    case TryEnd::NotRun:
-    case TryEnd::CallerLeft:
-        return;
-    }
-}
-
 asio::awaitable<ExchangeEnd> Exchange::giveUp(TryEnd end)
 {
     if (m_fate.ranNowhere())
@@ -520,12 +403,6 @@
     m_charged = 0;
 }
 
-void Exchange::countRun()
-{
-    if (m_team && m_events.events() == 0)
-        m_context.usage.count(m_team->name, m_context.trueMilliseconds());
-}
-
 const RequestDigest& Exchange::digest()
 {
     if (!m_digest)
@@ -600,23 +477,4 @@
     co_return !ec && !m_callerLeft;
 }
 
-void Exchange::writeLog(int status, std::string_view outcome)
-{
-    auto now = steadyNow();
-    m_context.metrics.increment("onyxnotch_entry_requests_total", { { "outcome", std::string(outcome) } });
-    auto seconds = std::chrono::duration<double>(now - m_request.arrivedAt).count();
-    m_context.metrics.observeSeconds("onyxnotch_entry_request_seconds", seconds, {});
-    if (m_firstEventMilliseconds >= 0)
-        m_context.metrics.observeSeconds("onyxnotch_entry_first_event_seconds", static_cast<double>(m_firstEventMilliseconds) / 1000, {});
-    auto& budget = status / 100 == 2 && outcome != "stream_cut" ? m_context.answeredLines : m_context.failedLines;
-    if (!budget.take(now))
-        return;
-    logEvent(LogLevel::Info, "request",
-        { { "request_id", m_requestId }, { "digest", digest().text() }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() },
-            { "team", m_team ? std::string_view(m_team->name) : std::string_view() }, { "endpoint", m_lastEndpoint }, { "choice", m_choiceReason },
-            { "expected_ms", m_expectedMilliseconds }, { "unqueued_ms", m_unqueuedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "endpoints_revision", m_endpointsRevision },
-            { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_wantedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_fate.tries() }, { "status", status }, { "outcome", outcome }, { "objective_ms", m_route ? m_route->objective.count() : 0L },
-            { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "left_ms", m_route ? timeLeft().count() : 0L } });
-}
-
 } // namespace Onyxnotch
--- a/modules/request/model_runner.cpp
+++ b/modules/request/model_runner.cpp
@@ -70,8 +70,10 @@
 ModelRunner::Step ModelRunner::attemptOnce(ActiveRequest& request, Progress& progress) const
 {
     auto interruption = request.takeInterruption();
-    if (interruption == Interruption::Handover)
+    if (interruption == Interruption::Handover) {
+        noteEnded(request);
         return Step::Stop;
+    }
     if (interruption == Interruption::Cancelled)
         return finish(request, RequestOutcome::Failed, "cancelled: nobody read the answer");
     if (steadyNow() >= request.deadline())
@@ -222,7 +224,7 @@
     }
     case EngineStreamEnd::NotStarted: {
         auto endpoint = request.place().endpoint;
-        m_suspects.use([&](SuspectBook& book) { book.onEnded(digestOf(request.description()), fastHash(endpoint)); });
+        noteEnded(request);
         progress.excluded.insert(endpoint);
         request.setPlace({});
         request.trace(m_options.node, "refused", endpoint + " did not start it");
@@ -243,6 +245,13 @@
     return Step::Continue;
 }
 
+// It runs no more where it was, for reasons of ours.
+void ModelRunner::noteEnded(const ActiveRequest& request) const
+{
+    auto life = fastHash(request.place().endpoint);
+    m_suspects.use([&](SuspectBook& book) { book.onEnded(digestOf(request.description()), life); });
+}
+
 void ModelRunner::loseEngine(ActiveRequest& request, Progress& progress, const std::string& reason) const
 {
     auto place = request.place();
@@ -255,7 +264,7 @@
 void ModelRunner::abandonAttempt(ActiveRequest& request, Progress& progress, const std::string& reason) const
 {
     auto place = request.place();
-    m_suspects.use([&](SuspectBook& book) { book.onEnded(digestOf(request.description()), fastHash(place.endpoint)); });
+    noteEnded(request);
     request.trace(m_options.node, "abandon", place.endpoint + ": " + reason);
     logEvent(LogLevel::Info, "attempt_abandoned", { { "request_id", request.description().id }, { "endpoint", place.endpoint }, { "reason", reason } });
     progress.excluded.insert(place.endpoint);
@@ -309,6 +318,8 @@
         request.trace(m_options.node, "transfer_failed", imported.error().message);
         return false;
     }
+    noteEnded(request);
+    m_suspects.use([&](SuspectBook& book) { book.onSent(digestOf(request.description()), fastHash(target.id)); });
     request.setPlace({ .attempt = place.attempt, .endpoint = target.id, .address = target.address });
     request.trace(m_options.node, "transfer_cache", std::to_string(imported.value()) + " tokens to " + target.id);
     m_metrics.increment("onyxnotch_transferred_tokens_total", {}, static_cast<double>(imported.value()));
--- a/modules/request/model_runner.h
+++ b/modules/request/model_runner.h
@@ -51,6 +51,7 @@
     // Its engine is gone, or has started anew since.
     void loseEngine(ActiveRequest&, Progress&, const std::string& reason) const;
     bool mayStart(const ActiveRequest&) const;
+    void noteEnded(const ActiveRequest&) const;
     std::string newAttemptId() const;
 
     ModelRunnerOptions m_options;
--- a/modules/suspects/suspect_book.cpp
+++ b/modules/suspects/suspect_book.cpp
@@ -115,21 +115,22 @@
     m_present[life].push_back({ .request = request });
 }
 
-// One of those that run there; which one makes no difference.
+// One of those that run there; which one makes no difference. Nothing where none does: an end may be told twice.
 void SuspectBook::leave(const RequestDigest& request, std::uint64_t life)
 {
-    auto running = m_running.find(request);
-    if (running != m_running.end() && --running->second == 0)
-        m_running.erase(running);
     auto present = m_present.find(life);
     if (present == m_present.end())
         return;
     auto& all = present->second;
     auto it = std::find_if(all.begin(), all.end(), [&](const auto& one) { return !one.leftAt && one.request == request; });
-    if (it != all.end())
-        all.erase(it);
+    if (it == all.end())
+        return;
+    all.erase(it);
     if (all.empty())
         m_present.erase(present);
+    auto running = m_running.find(request);
+    if (--running->second == 0)
+        m_running.erase(running);
 }
 
 void SuspectBook::onAnswered(const RequestDigest& request, std::uint64_t life, SteadyTime sentAt, SteadyTime now)
@@ -159,24 +160,23 @@
 {
     leave(request, life);
     suspect(request, life, true, now);
-    auto present = m_present.find(life);
-    if (present == m_present.end())
-        return;
     // Those that still run there lose their own connections.
-    for (const auto& it : present->second) {
-        if (it.leftAt && now - *it.leftAt <= m_options.blamedAfter)
-            suspect(it.request, life, true, now);
-    }
+    suspectGivenUp(life, m_options.blamedAfter, now);
 }
 
 void SuspectBook::onLifeGone(std::uint64_t life, SteadyTime now)
 {
     m_goneLives[life] = now;
+    suspectGivenUp(life, m_options.presentAfter, now);
+}
+
+void SuspectBook::suspectGivenUp(std::uint64_t life, Milliseconds within, SteadyTime now)
+{
     auto present = m_present.find(life);
     if (present == m_present.end())
         return;
     for (const auto& it : present->second) {
-        if (it.leftAt && now - *it.leftAt <= m_options.presentAfter)
+        if (it.leftAt && now - *it.leftAt <= within)
             suspect(it.request, life, true, now);
     }
 }
--- a/modules/suspects/suspect_book.h
+++ b/modules/suspects/suspect_book.h
@@ -135,6 +135,8 @@
 
     SuspectNews gather(bool withHeard, SteadyTime now);
     void suspect(const RequestDigest&, std::uint64_t life, bool foundHere, SteadyTime now);
+    // What was given up at that life within this time.
+    void suspectGivenUp(std::uint64_t life, Milliseconds within, SteadyTime now);
     void block(const RequestDigest&, Suspect&, SteadyTime now);
     void takeBlocked(const BlockedRequest&, SteadyTime now);
     void clear(const RequestDigest&, bool foundHere, SteadyTime now);
--- a/tests/modules/suspects/test_suspect_book.cpp
+++ b/tests/modules/suspects/test_suspect_book.cpp
@@ -108,6 +108,20 @@
     BOOST_TEST(book.maySend(request, start));
 }
 
+// An end that is told twice must not free a place that another run holds.
+BOOST_AUTO_TEST_CASE(an_end_told_twice_counts_once)
+{
+    SuspectBook book;
+    endLife(book, 1, start);
+    book.onSent(request, 2);
+    book.onSent(request, 3);
+    book.onLost(request, 2, start);
+    book.onEnded(request, 2);
+    BOOST_TEST(!book.maySend(request, start));
+    book.onEnded(request, 3);
+    BOOST_TEST(book.maySend(request, start));
+}
+
 BOOST_AUTO_TEST_CASE(a_good_answer_clears_and_speaks_for_a_while)
 {
     SuspectBook book;
