Say in log and metrics that an endpoint names a limit, and fields that nobody knows

Nothing is decided by it yet. The logs of the incident could not tell which node had been told what: a field that an endpoint named was passed on to the caller and left no trace. A field of the family that means nothing to the node is counted and named as well, so that the next such word is seen.

--- a/core/log.cpp
+++ b/core/log.cpp
@@ -164,6 +164,12 @@
 {
 }
 
+LogField::LogField(std::string_view fieldName, double number)
+    : name(fieldName)
+    , encodedValue(nlohmann::json(number).dump())
+{
+}
+
 void startLog(const LogOptions& options)
 {
     namespace sinks = boost::log::sinks;
--- a/core/log.h
+++ b/core/log.h
@@ -39,6 +39,7 @@
     LogField(std::string_view fieldName, unsigned number);
     LogField(std::string_view fieldName, long number);
     LogField(std::string_view fieldName, unsigned long number);
+    LogField(std::string_view fieldName, double number);
 
     std::string name {};
     std::string encodedValue {}; // JSON text.
--- a/modules/forward/exchange_notes.cpp
+++ b/modules/forward/exchange_notes.cpp
@@ -126,7 +126,9 @@
     };
     count(notice.leaves, "leaves");
     count(notice.rest.has_value(), "rest");
+    count(notice.namesLimit, "limit");
     count(!notice.isUnderstood, "not_understood");
+    count(!notice.unknownField.empty(), "unknown_field");
 }
 
 void Exchange::writeNoticeLog(const ListedEndpoint& endpoint, const AnswerNotice& notice)
@@ -134,7 +136,7 @@
     if (!m_context.noticeLines.take(steadyNow()))
         return;
     logEvent(LogLevel::Info, "endpoint_notice",
-        { { "request_id", m_requestId }, { "endpoint", endpoint.id }, { "born", endpoint.born }, { "status", m_answerStatus }, { "leaves", notice.leaves ? 1 : 0 }, { "rest_ms", notice.rest ? notice.rest->count() : -1L }, { "understood", notice.isUnderstood ? 1 : 0 } });
+        { { "request_id", m_requestId }, { "endpoint", endpoint.id }, { "born", endpoint.born }, { "status", m_answerStatus }, { "leaves", notice.leaves ? 1 : 0 }, { "rest_ms", notice.rest ? notice.rest->count() : -1L }, { "limit_per_s", notice.limitPerSecond.value_or(-1) }, { "understood", notice.isUnderstood ? 1 : 0 }, { "unknown_field", notice.unknownField } });
 }
 
 // A request that waited for a slot does not tell how long it held it.
--- a/modules/forward/wire_names.h
+++ b/modules/forward/wire_names.h
@@ -18,6 +18,8 @@
     std::string expectedEndpoint {}; // Any other endpoint refuses the request.
     std::string notRun {}; // In an answer: the endpoint did not run the request.
     std::string leaving {}; // In an answer: "1" where the endpoint leaves.
+    std::string limit {}; // In an answer: the requests a second that the endpoint takes from all nodes together, a decimal number.
+    std::string endpointFamily {}; // What names of fields begin with by which endpoints say something of themselves.
     std::string priority {}; // 0 to 9, 0 first.
     std::vector<std::string> ours {}; // Fields that only we may set towards endpoints: dropped where a caller sends them.
 };
--- a/tests/modules/forward/test_answer_notice.cpp
+++ b/tests/modules/forward/test_answer_notice.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-const WireNames names { .leaving = "X-Leaves" };
+const WireNames names { .receipt = "X-Receipt", .leaving = "X-Leaves", .limit = "X-Limit", .endpointFamily = "X-" };
 
 AnswerNotice noticeOf(int status, std::vector<HttpField> fields) { return readNotice({ .status = status, .fields = std::move(fields) }, names); }
 
@@ -50,4 +50,25 @@
     BOOST_TEST(!several.isUnderstood);
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_of_any_status_may_name_a_limit)
+{
+    for (int status : { 103, 200, 404, 500, 503 })
+        BOOST_TEST(noticeOf(status, { { "x-limit", "1.5" } }).limitPerSecond.value_or(-1) == 1.5);
+    BOOST_TEST(noticeOf(200, { { "X-Limit", "0" } }).limitPerSecond.value_or(-1) == 0);
+    BOOST_TEST(noticeOf(200, { { "X-Limit", "3" }, { "X-Limit", "2" }, { "X-Limit", "many" } }).limitPerSecond.value_or(-1) == 2);
+    for (const auto* value : { "", "-1", "nan", "inf", "1e3", "0x10", "3 a second", "+3" }) {
+        auto notice = noticeOf(200, { { "X-Limit", value } });
+        BOOST_TEST(!notice.limitPerSecond.has_value());
+        BOOST_TEST(notice.namesLimit);
+        BOOST_TEST(!notice.isUnderstood);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_field_of_the_family_that_means_nothing_here_is_seen)
+{
+    BOOST_TEST(noticeOf(200, { { "X-Mood", "low" }, { "X-Sleep", "1" } }).unknownField == "X-Mood");
+    BOOST_TEST((noticeOf(200, { { "X-Receipt", "r" }, { "Y-Mood", "low" }, { "X-", "1" } }) == AnswerNotice {}));
+    BOOST_TEST(noticeOf(200, { { "X-" + std::string(1000, 'a'), "1" } }).unknownField.size() < 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
