--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -65,6 +65,7 @@
             }
         },
         "relays": { "type": "boolean", "default": true, "description": "Whether the nodes of a large fleet hear of each other by relays of their zones. Off, each tells as many others as it can." },
+        "everyNodeUpTo": { "type": "integer", "minimum": 1, "default": 16, "description": "Up to so many nodes each one tells every other, and follows the store itself. A larger fleet uses relays." },
         "graceSeconds": { "type": "number", "minimum": 0.5, "default": 8, "description": "Time from the stop signal to the kill." },
         "leaseMs": { "type": "number", "minimum": 500, "default": 3000, "description": "How long a duty's lease holds without a renewal." },
         "startWaitMs": { "type": "integer", "minimum": 0, "default": 100, "description": "How long callers wait, after the start, for the configuration and the endpoints to be read, before they are refused." },
@@ -132,6 +133,7 @@
         entry.forward.rollouts = rollouts.enabled;
         entry.forward.suspects = { .node = entry.node, .livesUntilBlocked = document["suspects"]["livesUntilBlocked"], .blockedFor = secondsOf(document["suspects"]["blockedSeconds"]) };
         entry.relays = document["relays"];
+        entry.watching.everyNodeUpTo = document["everyNodeUpTo"];
         entry.grace = secondsOf(document["graceSeconds"]);
         auto lease = milliseconds(document["leaseMs"]);
         entry.duties.node = entry.node;
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -1,6 +1,7 @@
 // An endpoint that answers with exactly the bytes that a test says, and remembers what reached it.
 #pragma once
 
+#include "core/clock.h"
 #include "core/net/address.h"
 #include "core/net/http_parser.h"
 #include "tests/fakes/own_loopback.h"
@@ -31,6 +32,7 @@
     HttpHead head {};
     std::string body {};
     bool isWhole { true }; // False where the script is only asked whether it answers before the body is there.
+    SteadyTime arrivedAt {}; // When it was whole.
 };
 
 class ScriptedEndpoint {
@@ -163,7 +165,7 @@
                 return std::nullopt;
             input.append(buf, size);
         }
-        return ReceivedRequest { .head = parser.head(), .body = parser.body() };
+        return ReceivedRequest { .head = parser.head(), .body = parser.body(), .arrivedAt = steadyNow() };
     }
 
     bool answersBeforeBody(const HttpHead& head)
