Keep to what endpoints name that they take, all nodes together

Callers saw nothing of it; endpoints in need, which named in their answers how many requests a second they take from all nodes together, got the same as before: 16 and 13 in four seconds where 11 are allowed.

Ruled out: that each node kept to it alone (one node sent 1,743 in four seconds), and that the requests had been under way (the rate never fell). But to read it is not enough: a bound on what all nodes do together has to be kept by all.

A node takes a credit for each request to such an endpoint. Nodes of a small fleet give credits themselves and tell each other at once; in a larger one the relays do, and a node asks the first of its relays. What others have not told yet is expected: where many ask, an ask is served by chance. Which of two words holds goes by when their requests were sent and heard.

--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -138,7 +138,22 @@
 bool EndpointBook::mayUse(const EndpointState& state, const EndpointRequest& request, SteadyTime now) const
 {
     bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.listed.id) != request.excluded.end();
-    return !isExcluded && suits(state, request) && !m_rests.isResting(state.listed.life(), now);
+    if (isExcluded || !suits(state, request) || m_rests.isResting(state.listed.life(), now))
+        return false;
+    return !request.skipsSpent || m_limits.creditAt(state.listed.life(), now) <= now;
+}
+
+double EndpointBook::limitOf(const EndpointRequest& request) const
+{
+    double perSecond = 0;
+    auto found = m_ofService.find(request.service);
+    if (found == m_ofService.end())
+        return perSecond;
+    for (const auto& it : found->second) {
+        if (suits(*it, request))
+            perSecond += m_limits.perSecond(it->listed.life()).value_or(0);
+    }
+    return perSecond;
 }
 
 std::optional<SteadyTime> EndpointBook::firstBack(const EndpointRequest& request, SteadyTime now) const
@@ -150,7 +165,7 @@
     for (const auto& it : found->second) {
         if (!suits(*it, request))
             continue;
-        auto end = m_rests.endOf(it->listed.life());
+        auto end = std::max(m_rests.endOf(it->listed.life()), m_limits.creditAt(it->listed.life(), now));
         if (end <= now)
             return std::nullopt;
         first = std::min(first.value_or(end), end);
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -8,6 +8,7 @@
 #include "modules/balance/first_event_model.h"
 #include "modules/balance/prefix_cache.h"
 #include "modules/balance/slot_time_model.h"
+#include "modules/limits/endpoint_limits.h"
 #include "modules/rollout/version_gate.h"
 #include "modules/traffic/traffic_view.h"
 #include <deque>
@@ -52,7 +53,8 @@
     std::vector<PromptPart> parts {};
     double promptTokens { 0 };
     double objectiveSeconds { 0 }; // What is left of it.
-    std::vector<std::string> excluded {}; // Ids that this request was sent to before.
+    std::vector<std::string> excluded {}; // Ids that this request was sent to before, or got no credit for.
+    bool skipsSpent { false }; // Whether endpoints that have no credit now are left out.
     VersionLimits versions {};
 };
 
@@ -99,7 +101,12 @@
     std::size_t resting(SteadyTime now) const { return m_rests.resting(now); }
     // Whether a request that was to be sent there still may be.
     bool mayStillSend(const EndpointLife& life, SteadyTime now) const { return isExpectedToLive(life) && !m_rests.isResting(life, now); }
-    // When the first endpoint that could take the request has rested. Empty where one does not rest, or there is none.
+    // What endpoints named of how much they take from all nodes together.
+    EndpointLimits& limits() { return m_limits; }
+    const EndpointLimits& limits() const { return m_limits; }
+    // What those that could take the request take a second, of those that named it.
+    double limitOf(const EndpointRequest&) const;
+    // When the first endpoint that could take the request has rested and has a credit. Empty where one has at once, or there is none.
     std::optional<SteadyTime> firstBack(const EndpointRequest&, SteadyTime now) const;
     // Empty where the service has no endpoint that may be used. Changes nothing: a request that is sent there is noted by noteSent().
     std::optional<ChosenEndpoint> choose(const EndpointRequest&, SteadyTime now) const;
@@ -173,6 +180,7 @@
     std::map<EndpointLife, LeavingMark> m_leaving {}; // Never taken back while the life is listed.
     SteadyTime m_tellsMarksUntil {};
     EndpointRests m_rests {};
+    EndpointLimits m_limits {};
     bool m_readsStore { true };
     SteadyTime m_firstSentAt {}; // When the first prompt was sent to any endpoint.
     FirstEventModel m_firstEvents {};
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -17,11 +17,17 @@
     , peers(entryOptions.node)
     , relay(peers, { .node = entryOptions.node, .zone = entryOptions.zone, .everyNodeUpTo = entryOptions.watching.everyNodeUpTo, .period = entryOptions.gossipPeriod }, steadyNow())
     , exchange(
-          context, peers, relay, { .listen = entryOptions.gossip, .seeds = entryOptions.seeds, .zone = entryOptions.zone }, [this](const PeerRow& row, bool newLife) { onRow(row, newLife); },
-          [this](const PrefillNotice& notice) { forward.endpoints.notePeersPrefill(notice.endpoint, notice.tokens, steadyNow()); },
-          [this](const SuspectNews& news) { hearSuspects(news); })
+          context, peers, relay, { .listen = entryOptions.gossip, .seeds = entryOptions.seeds, .zone = entryOptions.zone },
+          { .row = [this](const PeerRow& row, bool newLife) { onRow(row, newLife); },
+              .prefill = [this](const PrefillNotice& notice) { forward.endpoints.notePeersPrefill(notice.endpoint, notice.tokens, steadyNow()); },
+              .suspects = [this](const SuspectNews& news) { hearSuspects(news); },
+              .limits = [this](const LimitNews& news) { limits.onNews(news); },
+              .creditAsk = [this](const CreditAsk& ask, const Address& from) { limits.onAsk(ask, from); },
+              .creditAnswer = [this](const CreditAnswer& answer, const Address& from) { limits.onAnswer(answer, from); },
+              .creditReturn = [this](const CreditReturn& returned) { limits.onReturn(returned); } })
     , readiness(context, entryOptions.readiness, [this](const HttpHead&) { return answerReadiness(); })
     , lifetime(wallMilliseconds())
+    , limits(context, forward, exchange, relay, { .node = entryOptions.node, .lifetime = lifetime })
     , ownClockDifference(static_cast<std::int64_t>(lifetime) - steadyMilliseconds())
 {
     forward.clockDifference = ownClockDifference;
@@ -50,6 +56,8 @@
         forward.endpoints.tellMarksAgain(steadyNow());
     if (newLife && !usesRelays())
         exchange.sendTo(row.gossipAddress, ownRow());
+    if (newLife && (!usesRelays() || relay.isRelay(steadyNow())))
+        limits.greet(row.gossipAddress);
     for (const auto& it : row.leavingEndpoints)
         forward.endpoints.markLeaving(it, steadyNow());
     forward.suspects.onNews(row.suspects, steadyNow());
@@ -98,9 +106,17 @@
     forward.clockDifference = peers.clockDifference(ownClockDifference, now);
     forward.endpoints.setPeerLoads(sumLoads(alive), now);
     exchange.send(ownRow());
+    limits.tick(false, speakingPart(alive, now), now);
     summary.set(std::make_shared<const NodeSummary>(summarize(alive, now)));
 }
 
+double EntryNode::RequestSide::speakingPart(const std::vector<const PeerRow*>& alive, SteadyTime now) const
+{
+    constexpr Milliseconds silentFor { 20000 }; // Then a node has gone.
+    auto speaking = static_cast<double>(alive.size() + 1);
+    return speaking / (speaking + peers.silent(silentFor, now));
+}
+
 void EntryNode::RequestSide::setNodes(unsigned nodes)
 {
     forward.nodes = nodes;
@@ -125,6 +141,7 @@
         forward.teams.onFleet(others.nodes, others.silentNodes, others.teamTotals, heard.heardAt);
         forward.endpoints.setPeerLoads(namedLoads(others.loads), now);
     }
+    limits.tick(true, (others.nodes + 1.0) / (others.nodes + others.silentNodes + 1.0), now);
     fleetHolders = others.dutyHolders;
     for (const auto& it : others.leavingEndpoints)
         forward.endpoints.markLeaving(it, steadyNow());
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -5,6 +5,7 @@
 #include "core/net/http_status.h"
 #include "core/steady_timer.h"
 #include "modules/control/blocked_requests.h"
+#include "modules/entry/entry_limits.h"
 #include "modules/entry/entry_node.h"
 
 namespace Onyxnotch {
@@ -49,6 +50,8 @@
 
     // In a fleet in which every node tells every other one.
     void hearPeers(SteadyTime now);
+    // Of the nodes that were there lately, those that speak, this one included.
+    double speakingPart(const std::vector<const PeerRow*>& alive, SteadyTime now) const;
     void setNodes(unsigned nodes);
 
     // In a larger one, where relays add up. What a relay tells others goes out right after what it heard itself.
@@ -111,6 +114,7 @@
     PeerExchange exchange;
     AsyncHttpServer readiness;
     std::uint64_t lifetime;
+    EntryLimits limits;
     std::int64_t ownClockDifference; // As read at the start: a step of the clock later changes nothing.
     SteadyTime startedAt { steadyNow() };
     SteadyTime::duration suspended { InstanceClock::suspended() };
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -197,6 +197,43 @@
     co_return co_await answer(refusal);
 }
 
+asio::awaitable<std::optional<ChosenEndpoint>> Exchange::nextEndpoint(EndpointRequest& request)
+{
+    // Endpoints that the request asks for a credit: where so many have none for it, it had better come back than ask them all.
+    constexpr std::size_t mostAsked = 4;
+    m_withoutCredit = 0;
+    while (m_withoutCredit < mostAsked && !m_callerLeft) {
+        auto chosen = m_context.endpoints.choose(request, steadyNow());
+        if (!chosen)
+            co_return std::nullopt;
+        bool mayGo = co_await holdCredit(chosen->endpoint->listed.life());
+        if (mayGo) {
+            m_withoutCredit = 0;
+            co_return chosen;
+        }
+        ++m_withoutCredit;
+        request.excluded.push_back(chosen->endpoint->listed.id);
+        request.skipsSpent = true;
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> Exchange::holdCredit(EndpointLife life)
+{
+    if (m_holdsCredit || !m_context.endpoints.limits().isLimited(life))
+        co_return true;
+    m_holdsCredit = co_await m_context.takeCredit(life);
+    m_context.metrics.increment("onyxnotch_entry_credits_total", { { "result", m_holdsCredit ? "given" : "denied" } });
+    co_return m_holdsCredit;
+}
+
+void Exchange::releaseCredit(const EndpointLife& life)
+{
+    if (m_holdsCredit)
+        m_context.giveCreditBack(life);
+    m_holdsCredit = false;
+}
+
 asio::awaitable<ExchangeEnd> Exchange::tryEndpoints()
 {
     bool first = true;
@@ -206,13 +243,20 @@
             co_return co_await giveUp(TryEnd::OutOfTime);
         }
         auto request = endpointRequest();
-        auto chosen = m_context.endpoints.choose(request, steadyNow());
+        auto chosen = co_await nextEndpoint(request);
+        if (m_callerLeft) {
+            if (chosen)
+                releaseCredit(chosen->endpoint->listed.life());
+            m_fate.onEnd(TryEnd::CallerLeft);
+            co_return co_await giveUp(TryEnd::CallerLeft);
+        }
+        if (first)
+            m_context.demand.onRequest(m_service->name, m_context.endpoints.prefillSeconds(chosen ? chosen->uncachedTokens : 0));
         if (!chosen)
             co_return co_await giveUp(TryEnd::NotSent);
-        if (first) {
-            m_context.demand.onRequest(m_service->name, m_context.endpoints.prefillSeconds(chosen->uncachedTokens));
-            if (!isOnTime(*chosen))
-                co_return co_await refuseForWantOfRoom(*chosen);
+        if (first && !isOnTime(*chosen)) {
+            releaseCredit(chosen->endpoint->listed.life());
+            co_return co_await refuseForWantOfRoom(*chosen);
         }
         first = false;
         m_context.endpoints.noteSent(request, *chosen->endpoint, steadyNow());
@@ -250,6 +294,9 @@
     auto end = co_await callEndpoint(call, chosen);
     m_call = nullptr;
     m_flight = nullptr;
+    if (!m_sent)
+        releaseCredit(chosen.endpoint->listed.life());
+    m_holdsCredit = false;
     if (m_callerLeft)
         end = TryEnd::CallerLeft;
     if (m_sent)
@@ -269,6 +316,9 @@
         co_return TryEnd::Unwanted;
     if (!m_context.suspects.maySend(digest(), steadyNow()))
         co_return TryEnd::Withheld;
+    bool mayGo = co_await holdCredit(chosen.endpoint->listed.life());
+    if (!mayGo)
+        co_return TryEnd::Unwanted;
     m_fate.onSend();
     m_sent = true;
     m_context.suspects.onSent(digest(), hashOf(chosen.endpoint->listed.life()), zoneHash(chosen.endpoint->listed.zone));
@@ -278,6 +328,8 @@
         status = co_await call.readHead(m_requestId, m_request.head.method != "HEAD");
     if (status != CallStatus::Good)
         co_return status == CallStatus::TimedOut ? TryEnd::OutOfTime : TryEnd::MayHaveRun;
+    if (!m_answerNamesLimit && call.head().status != HttpStatus::misdirected)
+        heedLimit(chosen.endpoint->listed.life(), unlimitedPerSecond);
     if (call.head().status == HttpStatus::misdirected) {
         // Another endpoint has the address now: the one that we meant is gone.
         m_context.endpoints.foundLeaving(chosen.endpoint->listed.life(), steadyNow());
@@ -390,12 +442,19 @@
     co_return co_await answer(noEndpointAnswer());
 }
 
-// Where every endpoint has asked for rest, the caller hears when the first one is back: before, this node has nobody to ask for it.
+// Where every endpoint has asked for rest, or takes no more for now, the caller hears when the first one is back: before, this node has nobody
+// to ask for it.
 Exchange::OwnAnswer Exchange::noEndpointAnswer()
 {
     OwnAnswer refusal { .comeBackAfter = m_context.options.comeBackAfter, .reason = m_fate.tries() > 0 ? "endpoint_refused" : "no_endpoint" };
     auto now = steadyNow();
-    auto back = m_context.endpoints.firstBack(endpointRequest(), now);
+    auto request = endpointRequest();
+    auto back = m_context.endpoints.firstBack(request, now);
+    if (m_withoutCredit > 0) {
+        auto perSecond = m_context.endpoints.limitOf(request) / std::max(1U, m_context.nodes);
+        auto wait = m_context.returnTimes.next(m_service->name, back.value_or(now), perSecond, now);
+        return { .comeBackAfter = std::max(wait, m_context.options.comeBackAfter), .reason = "endpoints_limited" };
+    }
     if (!back)
         return refusal;
     constexpr double mostSpread = 1.25;
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -47,6 +47,11 @@
     void readPrompt();
 
     asio::awaitable<ExchangeEnd> tryEndpoints();
+    // The next endpoint that the request may go to, with a credit where that is needed. Empty where there is none.
+    asio::awaitable<std::optional<ChosenEndpoint>> nextEndpoint(EndpointRequest&);
+    asio::awaitable<bool> holdCredit(EndpointLife);
+    // Gives back a credit for which nothing was sent.
+    void releaseCredit(const EndpointLife&);
     asio::awaitable<TryEnd> tryEndpoint(const ChosenEndpoint&);
     asio::awaitable<TryEnd> callEndpoint(EndpointCall&, const ChosenEndpoint&);
     asio::awaitable<TryEnd> relayStream(EndpointCall&, const ChosenEndpoint&);
@@ -58,6 +63,7 @@
     void noteLife(const EndpointCall&, const ListedEndpoint&, TryEnd);
     void noteHead(const ListedEndpoint&, const HttpHead&);
     void heedNotice(const EndpointLife&, const AnswerNotice&);
+    void heedLimit(const EndpointLife&, double perSecond);
     void countNotice(const AnswerNotice&);
     void writeNoticeLog(const ListedEndpoint&, const AnswerNotice&);
     OwnAnswer withheldAnswer();
@@ -104,6 +110,8 @@
     EndpointBook::Flight* m_flight { nullptr };
     SteadyTime m_sentAt {};
     bool m_sent { false }; // In this try.
+    bool m_holdsCredit { false }; // For the endpoint of this try.
+    bool m_answerNamesLimit { false }; // This try's last head.
     int m_answerStatus { 0 }; // Of this try's last head; 0 where none came.
     SteadyTime m_firstEventAt {}; // Of this try; none where there was none.
     bool m_isTrial { false }; // Versions run side by side, and what this try shows counts.
@@ -112,6 +120,7 @@
     RequestFate m_fate {};
     std::optional<RequestDigest> m_digest {}; // Taken where it is first asked for.
     std::vector<std::string> m_tried {};
+    std::size_t m_withoutCredit { 0 }; // Endpoints that would have been chosen for this try, and take no more for now.
     std::string m_lastEndpoint {};
     std::string_view m_choiceReason {};
     // What the last choice was decided by, for the log.
--- a/modules/forward/exchange_notes.cpp
+++ b/modules/forward/exchange_notes.cpp
@@ -96,9 +96,11 @@
 void Exchange::noteHead(const ListedEndpoint& endpoint, const HttpHead& head)
 {
     m_answerStatus = head.status;
+    m_answerNamesLimit = false;
     if (head.status == HttpStatus::misdirected)
         return;
     auto notice = readNotice(head, m_context.options.names);
+    m_answerNamesLimit = notice.namesLimit;
     if (notice == AnswerNotice {})
         return;
     heedNotice(endpoint.life(), notice);
@@ -116,6 +118,23 @@
     // Callers come from many nodes: they had better not all return to it in the same moment.
     if (notice.rest)
         m_context.endpoints.askedRest(life, spread(*notice.rest, m_context.random), now);
+    if (notice.limitPerSecond)
+        heedLimit(life, *notice.limitPerSecond);
+}
+
+// An answer that names none ends a limit, if its request was sent after the last answer that named it.
+void Exchange::heedLimit(const EndpointLife& life, double perSecond)
+{
+    auto& limits = m_context.endpoints.limits();
+    if (perSecond >= unlimitedPerSecond && !limits.knows(life))
+        return;
+    auto now = steadyNow();
+    LimitWord word { .endpoint = life, .perSecond = std::min(perSecond, unlimitedPerSecond), .sentAt = m_context.trueMilliseconds(m_sentAt), .heardAt = m_context.trueMilliseconds(now) };
+    if (!limits.hear(word, now))
+        return;
+    logEvent(LogLevel::Info, "endpoint_limit", { { "request_id", m_requestId }, { "endpoint", life.id }, { "born", life.born }, { "per_s", limits.perSecond(life).value_or(-1) } });
+    if (m_context.tellLimits)
+        m_context.tellLimits();
 }
 
 void Exchange::countNotice(const AnswerNotice& notice)
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -7,11 +7,13 @@
 #include "modules/forward/demand_meter.h"
 #include "modules/forward/wire_names.h"
 #include "modules/limits/retry_budget.h"
+#include "modules/limits/return_times.h"
 #include "modules/limits/team_limits.h"
 #include "modules/limits/usage_ledger.h"
 #include "modules/rollout/answer_pace.h"
 #include "modules/rollout/version_gate.h"
 #include "modules/suspects/suspect_book.h"
+#include <asio/awaitable.hpp>
 #include <functional>
 #include <random>
 
@@ -98,9 +100,28 @@
     {
     }
 
-    std::uint64_t trueMilliseconds() const
+    // In the time on which the nodes agree.
+    std::uint64_t trueMilliseconds(SteadyTime at) const
     {
-        return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(steadyNow().time_since_epoch()).count() + clockDifference);
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(at.time_since_epoch()).count() + clockDifference);
+    }
+    std::uint64_t trueMilliseconds() const { return trueMilliseconds(steadyNow()); }
+
+    // Whether a request may go to an endpoint that named a limit.
+    asio::awaitable<bool> takeCredit(EndpointLife life)
+    {
+        if (!askCredit)
+            co_return endpoints.limits().take(life, 1, steadyNow());
+        bool isGiven = co_await askCredit(life);
+        co_return isGiven;
+    }
+    // It was not sent.
+    void giveCreditBack(const EndpointLife& life)
+    {
+        if (returnCredit)
+            returnCredit(life);
+        else
+            endpoints.limits().giveBack(life, steadyNow());
     }
 
     // Where the list has changed. What may go to versions that are new in it is decided before any request can.
@@ -138,6 +159,12 @@
     std::function<void(const EndpointLife&, double tokens)> tellLongPrefill {};
     // Something was found of requests under which endpoints end: the other nodes had better know at once.
     std::function<void()> tellSuspects {};
+    // Another node may give the credits.
+    std::function<asio::awaitable<bool>(EndpointLife)> askCredit {};
+    std::function<void(const EndpointLife&)> returnCredit {};
+    // What an endpoint takes has changed: the other nodes had better know at once.
+    std::function<void()> tellLimits {};
+    ReturnTimes returnTimes {};
     unsigned nodes { 1 }; // That share the endpoints' connections, this one included.
     std::mt19937_64 random { std::random_device {}() };
 
--- a/modules/peers/fleet_relay.cpp
+++ b/modules/peers/fleet_relay.cpp
@@ -295,6 +295,21 @@
     return receivers;
 }
 
+std::vector<Address> FleetRelay::otherRelays(SteadyTime now)
+{
+    auto relays = otherZonesReceivers(now);
+    auto ownZone = rowReceivers();
+    relays.insert(relays.end(), ownZone.begin(), ownZone.end());
+    return relays;
+}
+
+std::vector<Address> FleetRelay::members(SteadyTime now) const
+{
+    std::vector<Address> receivers;
+    addMembers(receivers, now);
+    return receivers;
+}
+
 FleetRelay::Telling FleetRelay::fleetTelling(SteadyTime now)
 {
     Telling telling { .sum = wholeSum(now, true) };
--- a/modules/peers/fleet_relay.h
+++ b/modules/peers/fleet_relay.h
@@ -66,6 +66,11 @@
     };
     // Whom a relay tells what cannot wait: the nodes that take it for one, and the relays of the other zones.
     std::vector<Address> urgentReceivers(SteadyTime now);
+    // The relays of all zones, as far as this one knows them.
+    std::vector<Address> otherRelays(SteadyTime now);
+    // The nodes that take this one for a relay.
+    std::vector<Address> members(SteadyTime now) const;
+    const std::string& node() const { return m_options.node; }
     Telling zoneTelling(SteadyTime now);
     Telling fleetTelling(SteadyTime now);
 
--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -5,13 +5,11 @@
 
 namespace Onyxnotch {
 
-PeerExchange::PeerExchange(asio::io_context& context, PeerTable& table, FleetRelay& relay, const PeerExchangeOptions& options, RowReceiver receiver, NoticeReceiver noticeReceiver, SuspectReceiver suspectReceiver)
+PeerExchange::PeerExchange(asio::io_context& context, PeerTable& table, FleetRelay& relay, const PeerExchangeOptions& options, PeerReceivers receivers)
     : m_table(table)
     , m_relay(relay)
     , m_options(options)
-    , m_receiver(std::move(receiver))
-    , m_noticeReceiver(std::move(noticeReceiver))
-    , m_suspectReceiver(std::move(suspectReceiver))
+    , m_receivers(std::move(receivers))
     , m_socket(context)
 {
 }
@@ -69,7 +67,7 @@
         BOOST_OUTCOME_TRY(notice, unpackMessage<PrefillNotice>(frame.type, frame));
         if (!notice.isSound())
             return Error { ErrorCode::InvalidArgument, "a prompt of a size that none can have" };
-        m_noticeReceiver(notice);
+        m_receivers.prefill(notice);
         return success();
     }
     case MessageType::UsageNotice: {
@@ -79,9 +77,15 @@
     }
     case MessageType::SuspectNotice: {
         BOOST_OUTCOME_TRY(news, unpackMessage<SuspectNews>(frame.type, frame));
-        m_suspectReceiver(news);
+        m_receivers.suspects(news);
         return success();
     }
+    case MessageType::LimitNews:
+        return takeLimitNews(frame);
+    case MessageType::CreditAsk:
+    case MessageType::CreditAnswer:
+    case MessageType::CreditReturn:
+        return takeCreditMessage(frame);
     case MessageType::ZoneSum:
     case MessageType::FleetSum:
         return takeSum(frame);
@@ -102,7 +106,7 @@
     if (!m_table.apply(message.row, now))
         return;
     m_relay.onRow(message.row, now);
-    m_receiver(message.row, newLife);
+    m_receivers.row(message.row, newLife);
 }
 
 Status PeerExchange::takeSum(const Frame& frame)
@@ -117,6 +121,34 @@
     return success();
 }
 
+Status PeerExchange::takeLimitNews(const Frame& frame)
+{
+    BOOST_OUTCOME_TRY(news, unpackMessage<LimitNews>(frame.type, frame));
+    if (news.node == m_relay.node())
+        return success();
+    m_receivers.limits(news);
+    return success();
+}
+
+Status PeerExchange::takeCreditMessage(const Frame& frame)
+{
+    if (frame.type == MessageType::CreditAsk) {
+        BOOST_OUTCOME_TRY(ask, unpackMessage<CreditAsk>(frame.type, frame));
+        if (!ask.isSound())
+            return Error { ErrorCode::InvalidArgument, "an ask for a credit with numbers that none can have" };
+        m_receivers.creditAsk(ask, sender());
+    } else if (frame.type == MessageType::CreditAnswer) {
+        BOOST_OUTCOME_TRY(answer, unpackMessage<CreditAnswer>(frame.type, frame));
+        m_receivers.creditAnswer(answer, sender());
+    } else {
+        BOOST_OUTCOME_TRY(returned, unpackMessage<CreditReturn>(frame.type, frame));
+        m_receivers.creditReturn(returned);
+    }
+    return success();
+}
+
+Address PeerExchange::sender() const { return { .host = m_sender.address().to_string(), .port = m_sender.port() }; }
+
 void PeerExchange::addContact(const PeerContact& contact) { m_table.addContact(contact, steadyNow()); }
 
 void PeerExchange::addSome(std::vector<PeerContact> contacts, std::size_t most, std::vector<Address>& addresses)
@@ -194,11 +226,7 @@
 
 void PeerExchange::send(MessageType type, const FleetRelay::Telling& telling)
 {
-    if (telling.receivers.empty())
-        return;
-    auto bytes = encodeFrame(packMessage(type, telling.sum));
-    for (const auto& it : telling.receivers)
-        sendBytes(it, bytes);
+    sendTo(telling.receivers, type, telling.sum);
 }
 
 void PeerExchange::send(const UsageNotice& notice, const std::vector<PeerContact>& holders)
@@ -214,27 +242,15 @@
         sendBytes(it, bytes);
 }
 
-void PeerExchange::send(const SuspectNews& news)
-{
-    auto bytes = encodeFrame(packMessage(MessageType::SuspectNotice, news));
-    for (const auto& it : receivers())
-        sendBytes(it, bytes);
-}
+void PeerExchange::send(const SuspectNews& news) { sendTo(receivers(), MessageType::SuspectNotice, news); }
 
 void PeerExchange::sendToRelays(const SuspectNews& news)
 {
     auto now = steadyNow();
-    auto bytes = encodeFrame(packMessage(MessageType::SuspectNotice, news));
-    for (const auto& it : m_relay.isRelay(now) ? m_relay.urgentReceivers(now) : m_relay.rowReceivers())
-        sendBytes(it, bytes);
+    sendTo(m_relay.isRelay(now) ? m_relay.urgentReceivers(now) : m_relay.rowReceivers(), MessageType::SuspectNotice, news);
 }
 
-void PeerExchange::send(const PrefillNotice& notice)
-{
-    auto bytes = encodeFrame(packMessage(MessageType::PrefillNotice, notice));
-    for (const auto& it : receivers())
-        sendBytes(it, bytes);
-}
+void PeerExchange::send(const PrefillNotice& notice) { sendTo(receivers(), MessageType::PrefillNotice, notice); }
 
 void PeerExchange::sendTo(const Address& address, const PeerRow& row) { sendBytes(address, encode(row)); }
 
--- a/modules/peers/peer_exchange.h
+++ b/modules/peers/peer_exchange.h
@@ -6,6 +6,7 @@
 #include "core/net/frame.h"
 #include "core/outcome.h"
 #include "modules/peers/fleet_relay.h"
+#include "modules/peers/limit_messages.h"
 #include "modules/peers/peer_table.h"
 #include <array>
 #include <asio/io_context.hpp>
@@ -30,15 +31,20 @@
     std::size_t contactsPerMessage { 3 }; // By which nodes get to know of others.
 };
 
+// What is done with messages of other nodes that neither the table nor the relay takes.
+struct PeerReceivers {
+    std::function<void(const PeerRow&, bool newLife)> row {}; // `newLife`: the node had not spoken since its last start.
+    std::function<void(const PrefillNotice&)> prefill {};
+    std::function<void(const SuspectNews&)> suspects {};
+    std::function<void(const LimitNews&)> limits {};
+    std::function<void(const CreditAsk&, const Address& from)> creditAsk {};
+    std::function<void(const CreditAnswer&, const Address& from)> creditAnswer {};
+    std::function<void(const CreditReturn&)> creditReturn {};
+};
+
 class PeerExchange {
 public:
-    // `newLife`: the node had not spoken since its last start.
-    using RowReceiver = std::function<void(const PeerRow&, bool newLife)>;
-
-    using NoticeReceiver = std::function<void(const PrefillNotice&)>;
-    using SuspectReceiver = std::function<void(const SuspectNews&)>;
-
-    PeerExchange(asio::io_context&, PeerTable&, FleetRelay&, const PeerExchangeOptions&, RowReceiver, NoticeReceiver, SuspectReceiver);
+    PeerExchange(asio::io_context&, PeerTable&, FleetRelay&, const PeerExchangeOptions&, PeerReceivers);
 
     Status start();
     Address address() const;
@@ -57,6 +63,17 @@
     void sendToRelays(const SuspectNews&);
     // To one node: an answer to the first row of its life.
     void sendTo(const Address&, const PeerRow&);
+    template <typename Message>
+    void sendTo(const std::vector<Address>& addresses, MessageType type, const Message& message)
+    {
+        if (addresses.empty())
+            return;
+        auto bytes = encodeFrame(packMessage(type, message));
+        for (const auto& it : addresses)
+            sendBytes(it, bytes);
+    }
+    // Whom a row goes to in a fleet that needs no relays, drawn anew each time.
+    std::vector<Address> receivers();
     // To every node that is known so far, up to a bound: they answer, so that a node that has just started hears all at once.
     void greetAll(const PeerRow&);
     void addContact(const PeerContact&);
@@ -69,7 +86,9 @@
     Status takeMessage(const Frame&);
     void takeRow(const PeerMessage&);
     Status takeSum(const Frame&);
-    std::vector<Address> receivers();
+    Status takeLimitNews(const Frame&);
+    Status takeCreditMessage(const Frame&);
+    Address sender() const;
     void addSome(std::vector<PeerContact> contacts, std::size_t most, std::vector<Address>& addresses);
     std::vector<PeerContact> someContacts();
     std::string encode(const PeerRow&);
@@ -80,9 +99,7 @@
     PeerTable& m_table;
     FleetRelay& m_relay;
     PeerExchangeOptions m_options;
-    RowReceiver m_receiver;
-    NoticeReceiver m_noticeReceiver;
-    SuspectReceiver m_suspectReceiver;
+    PeerReceivers m_receivers;
     asio::ip::udp::socket m_socket;
     asio::ip::udp::endpoint m_sender {};
     std::array<char, 65536> m_buffer {};
--- a/modules/peers/peer_table.cpp
+++ b/modules/peers/peer_table.cpp
@@ -122,13 +122,20 @@
     return contacts;
 }
 
+bool PeerTable::isSilent(const Entry& entry, Milliseconds silentFor, SteadyTime now) const
+{
+    auto silence = now - entry.heardAt;
+    return entry.spoke && !entry.row.leaving && silence > m_options.silentAfter && silence <= silentFor;
+}
+
 unsigned PeerTable::silentIn(const std::string& zone, Milliseconds silentFor, SteadyTime now) const
 {
-    return static_cast<unsigned>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& it) {
-        const auto& entry = it.second;
-        auto silence = now - entry.heardAt;
-        return entry.spoke && !entry.row.leaving && entry.row.zone == zone && silence > m_options.silentAfter && silence <= silentFor;
-    }));
+    return static_cast<unsigned>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& it) { return it.second.row.zone == zone && isSilent(it.second, silentFor, now); }));
+}
+
+unsigned PeerTable::silent(Milliseconds silentFor, SteadyTime now) const
+{
+    return static_cast<unsigned>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& it) { return isSilent(it.second, silentFor, now); }));
 }
 
 std::vector<PeerContact> PeerTable::dutyHolders() const
--- a/modules/peers/peer_table.h
+++ b/modules/peers/peer_table.h
@@ -43,6 +43,8 @@
     std::map<std::string, std::vector<PeerContact>> contactsByZone() const;
     // Nodes of a zone that spoke once and fell silent, without having said that they leave.
     unsigned silentIn(const std::string& zone, Milliseconds silentFor, SteadyTime now) const;
+    // The same of all zones.
+    unsigned silent(Milliseconds silentFor, SteadyTime now) const;
     std::vector<PeerContact> contactsOutside(const std::string& zone) const;
     std::vector<PeerContact> contacts() const;
     // A fleet in which a node hears of another one only now and then needs more time before silence means something.
@@ -65,6 +67,8 @@
         std::map<std::uint64_t, WindowCounts> usageOfLives {}; // By lifetime.
     };
 
+    bool isSilent(const Entry&, Milliseconds silentFor, SteadyTime now) const;
+
     std::string m_self;
     PeerTableOptions m_options;
     std::map<std::string, Entry> m_entries {};
--- a/modules/report/request_account.cpp
+++ b/modules/report/request_account.cpp
@@ -27,6 +27,7 @@
             { "one_at_a_time", "Endpoints have ended under this same request, and another one of it was running at this node." },
             { "no_endpoint", "No endpoint was listed, or none could be connected to; it has not run." },
             { "endpoints_rest", "Every endpoint of the service that could run it had turned this node away and asked for rest; it has not run." },
+            { "endpoints_limited", "Every endpoint of the service that could run it had named how much it takes, and that was used up for the moment; it has not run." },
             { "endpoint_refused", "The endpoints that were tried said that they did not run it." },
             { "endpoint_broke", "An endpoint's answer broke, and the request may have run there." },
             { "endpoint_failed", "The endpoint answered with a failure of its own, which was passed on." },
@@ -65,6 +66,7 @@
             addEndpoints();
             addSameRequest();
             addRests();
+            addLimits();
             addCause();
             return m_text;
         }
@@ -161,6 +163,24 @@
             }
         }
 
+        // What endpoints take, as some node had heard it last before the request was refused.
+        void addLimits()
+        {
+            if (!m_end || textOf(*m_end, "outcome") != "endpoints_limited")
+                return;
+            std::map<std::string, const LogLine*> last;
+            for (const auto& it : m_log.lines) {
+                auto& known = last[textOf(it, "endpoint")];
+                bool isLater = it.event == "endpoint_limit" && it.milliseconds <= m_end->milliseconds && (!known || it.milliseconds >= known->milliseconds);
+                known = isLater ? &it : known;
+            }
+            for (const auto& [endpoint, line] : last) {
+                auto perSecond = line ? line->fields.value("per_s", -1.0) : -1.0;
+                if (perSecond >= 0)
+                    add(*line, endpoint + " takes " + nlohmann::json(perSecond).dump() + " a second from all nodes together");
+            }
+        }
+
         void addCause()
         {
             if (!m_end) {
--- a/tests/fuzz/fuzz_documents.cpp
+++ b/tests/fuzz/fuzz_documents.cpp
@@ -79,15 +79,36 @@
     book.forgetOld(now + std::chrono::hours(48));
 }
 
+void checkLimits(const LimitNews& news)
+{
+    constexpr std::size_t most = 16;
+    constexpr SteadyTime now { std::chrono::hours(1) };
+    EndpointLimits limits({ .words = { .most = most }, .wordsTold = most }, 1);
+    limits.onNews(news, now);
+    require(limits.limited() <= most && limits.takeWordsTold().size() <= most);
+    for (const auto& it : news.words) {
+        (void)limits.take(it.endpoint, 1, now);
+        require(limits.creditAt(it.endpoint, now) - now <= std::chrono::hours(1));
+    }
+    limits.forgetOld(
+        0, [](const auto&) { return false; }, now);
+}
+
 void checkMessages(const std::string& bytes)
 {
-    for (auto type : { MessageType::PeerRow, MessageType::ZoneSum, MessageType::PrefillNotice, MessageType::UsageNotice, MessageType::SuspectNotice }) {
+    for (auto type : { MessageType::PeerRow, MessageType::ZoneSum, MessageType::PrefillNotice, MessageType::UsageNotice, MessageType::SuspectNotice, MessageType::LimitNews, MessageType::CreditAsk, MessageType::CreditAnswer, MessageType::CreditReturn }) {
         Frame frame { .type = type, .payload = bytes };
         if (auto sum = unpackMessage<GroupSum>(type, frame))
             (void)sum.value().isSound();
         (void)unpackMessage<PeerMessage>(type, frame);
         (void)unpackMessage<PrefillNotice>(type, frame);
         (void)unpackMessage<UsageNotice>(type, frame);
+        if (auto news = unpackMessage<LimitNews>(type, frame))
+            checkLimits(news.value());
+        if (auto ask = unpackMessage<CreditAsk>(type, frame))
+            (void)ask.value().isSound();
+        (void)unpackMessage<CreditAnswer>(type, frame);
+        (void)unpackMessage<CreditReturn>(type, frame);
         if (auto news = unpackMessage<SuspectNews>(type, frame))
             checkSuspects(news.value());
     }
--- a/tests/modules/report/test_request_account.cpp
+++ b/tests/modules/report/test_request_account.cpp
@@ -100,4 +100,22 @@
 
 BOOST_AUTO_TEST_CASE(a_request_that_no_line_names_has_no_account) { BOOST_TEST(requestAccount(parsed(), "r-3").empty()); }
 
+BOOST_AUTO_TEST_CASE(it_names_what_endpoints_take_where_that_is_used_up)
+{
+    ParsedLog log;
+    parseLog(R"({"time_ms":1000,"event":"endpoint_limit","instance":"n-1","request_id":"r-1","endpoint":"i-1","per_s":4.0}
+{"time_ms":1500,"event":"endpoint_limit","instance":"n-2","request_id":"r-2","endpoint":"i-1","per_s":0.5}
+{"time_ms":1200,"event":"endpoint_limit","instance":"n-2","request_id":"r-3","endpoint":"i-2","per_s":2.0}
+{"time_ms":1300,"event":"endpoint_limit","instance":"n-2","request_id":"r-4","endpoint":"i-2","per_s":-1.0}
+{"time_ms":2000,"event":"request","instance":"n-1","request_id":"r-5","route":"read","team":"t","tries":0,"status":503,"outcome":"endpoints_limited","ms":0}
+{"time_ms":2500,"event":"endpoint_limit","instance":"n-2","request_id":"r-6","endpoint":"i-1","per_s":9.0}
+)",
+        log);
+    auto text = requestAccount(log, "r-5", {});
+    BOOST_TEST(text.find("i-1 takes 0.5 a second") != std::string::npos);
+    BOOST_TEST(text.find("i-2 takes") == std::string::npos);
+    BOOST_TEST(text.find("9.0") == std::string::npos);
+    BOOST_TEST(text.find("used up for the moment") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
