--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -8,7 +8,7 @@
 constexpr const char* usage = R"(onyxnotch-soak: real entry processes under faults in series and overlapping, from a seed.
 
 Usage:
-  onyxnotch-soak [--from N] [--seeds N] [--seconds N] [--nodes N] [--endpoints N] [--callers N] [--notices] [--steady]
+  onyxnotch-soak [--from N] [--seeds N] [--seconds N] [--nodes N] [--endpoints N] [--callers N] [--notices] [--limits] [--steady]
 
 Options:
   --from N       First seed [default: 1].
@@ -18,6 +18,7 @@
   --endpoints N  Endpoints at the start [default: 8].
   --callers N    Callers [default: 8].
   --notices      Endpoints also say in their answers alone that they leave or want rest.
+  --limits       Endpoints also name how many requests a second they take from all nodes together.
   --steady       Endpoints that crashed are replaced, and a stop holds up no other fault.
 )";
 
@@ -39,6 +40,7 @@
             .endpoints = static_cast<unsigned>(numberOf(arguments, "--endpoints")),
             .callers = static_cast<unsigned>(numberOf(arguments, "--callers")),
             .notices = arguments.flag("--notices"),
+            .limits = arguments.flag("--limits"),
             .steady = arguments.flag("--steady"),
         };
         auto result = Tests::SoakRun(options).play();
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -6,6 +6,7 @@
 #include "tests/fakes/platform_stand_in.h"
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +32,7 @@
     Milliseconds timeLeft { 0 }; // Of the caller's, as the node wrote it when it sent the request.
     bool isWhole { true }; // False where only its head has come so far.
     bool saysLeaving { false }; // Its answer says that the endpoint leaves.
+    std::optional<double> limitPerSecond {}; // Its answer names what the endpoint takes from all nodes together.
     Milliseconds rest { 0 }; // It is turned away, and the endpoint wants nothing from the node for so long.
 };
 
@@ -112,6 +114,7 @@
         checkOutcomes(broken);
         checkCrashing(broken);
         checkNotices(broken);
+        checkLimits(broken);
         return broken;
     }
 
@@ -147,6 +150,10 @@
     static constexpr Milliseconds drainTime { 2000 }; // From an answer that says so until nothing new may reach the endpoint.
     static constexpr Milliseconds restBegins { 500 }; // After an answer that asks for rest.
     static constexpr unsigned allowedWhileResting = 2; // From one node.
+    static constexpr Milliseconds limitSpan { 4000 }; // Of any such length,
+    static constexpr double limitSlackPart = 1.5; // this part of what the endpoint takes,
+    static constexpr double limitSlack = 5; // and so many more.
+    static constexpr Milliseconds heardBefore { 500 }; // A node that passed a limit on later need not keep to it yet.
     static constexpr unsigned endedUntilKnown = 3;
     static constexpr unsigned allowedAfterwards = 3;
     static constexpr unsigned mostTold = 6; // Of the late ones that were turned away, for who reads of a broken promise.
@@ -263,6 +270,55 @@
         }
     }
 
+    // What all nodes that had passed it on send to an endpoint, from three seconds after its first word for as long as it says so.
+    void checkLimits(std::vector<BrokenPromise>& broken) const
+    {
+        std::lock_guard lock(m_mutex);
+        std::map<std::string, const SoakOutcome*> outcomes;
+        for (const auto& it : m_outcomes)
+            outcomes[it.id] = &it;
+        std::map<std::string, std::vector<const SoakArrival*>> arrivals;
+        for (const auto& it : m_arrivals) {
+            if (it.isWhole && outcomes.contains(it.id))
+                arrivals[it.endpoint].push_back(&it);
+        }
+        for (const auto& [endpoint, it] : arrivals)
+            checkLimit(broken, it, outcomes);
+    }
+
+    // Of one endpoint, in the order of their coming.
+    void checkLimit(std::vector<BrokenPromise>& broken, const std::vector<const SoakArrival*>& arrivals, const std::map<std::string, const SoakOutcome*>& outcomes) const
+    {
+        std::optional<SteadyTime> namedAt;
+        std::map<unsigned, SteadyTime> toldAt; // By node.
+        std::vector<const SoakArrival*> counted;
+        for (const auto* it : arrivals) {
+            const auto& outcome = *outcomes.at(it->id);
+            if (!it->limitPerSecond) {
+                namedAt.reset();
+                toldAt.clear();
+                counted.clear();
+                continue;
+            }
+            namedAt = namedAt.value_or(it->at);
+            auto told = toldAt.find(outcome.node);
+            bool knows = told != toldAt.end() && it->at > told->second + heardBefore && !isDisturbed(outcome.node, std::max(told->second, it->at - contact), it->at);
+            if (knows)
+                counted.push_back(it);
+            if (outcome.whole && outcome.status == HttpStatus::ok)
+                toldAt.try_emplace(outcome.node, outcome.answeredAt);
+            std::erase_if(counted, [&](const auto* other) { return it->at - other->at > limitSpan; });
+            double perSecond = 0;
+            for (const auto* other : counted)
+                perSecond = std::max(perSecond, *other->limitPerSecond);
+            auto allowed = limitSlackPart * perSecond * std::chrono::duration<double>(limitSpan).count() + limitSlack;
+            if (it->at < *namedAt + contact || static_cast<double>(counted.size()) <= allowed)
+                continue;
+            broken.push_back({ "an endpoint gets no more than it names", it->id, it->endpoint + " got " + std::to_string(counted.size()) + " in four seconds of " + std::to_string(allowed) });
+            return;
+        }
+    }
+
     // Of one endpoint from one node, in the order of their coming. The first word since the node's last disturbance counts.
     void checkLeft(std::vector<BrokenPromise>& broken, unsigned node, const std::vector<const SoakArrival*>& arrivals, const std::map<std::string, const SoakOutcome*>& outcomes) const
     {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -17,6 +17,7 @@
     unsigned endpoints { 8 };
     unsigned callers { 8 };
     bool notices { false }; // Endpoints also say of themselves, in their answers alone, that they leave or want rest.
+    bool limits { false }; // Endpoints also name how many requests a second they take from all nodes together.
     bool steady { false }; // Endpoints that crashed are replaced soon, and a process that takes its time to stop holds up no other fault.
 };
 
@@ -75,12 +76,14 @@
         Garbles,
         Leaves, // Serves, and says in its answers that it leaves.
         Rests, // Turns requests away and asks for rest.
+        Limited, // Serves, and names what it takes.
     };
 
     struct Stand {
         std::string id {};
         Fakes::ScriptedEndpoint* endpoint { nullptr };
         std::shared_ptr<std::atomic<Mode>> mode {};
+        std::shared_ptr<std::atomic<int>> perSecond {}; // That it names.
         bool isGone { false };
         bool isReplaced { false };
     };
@@ -105,9 +108,10 @@
     void addEndpoint()
     {
         auto mode = std::make_shared<std::atomic<Mode>>(Mode::Sound);
+        auto perSecond = std::make_shared<std::atomic<int>>(0);
         auto id = "i-" + std::to_string(++m_endpointNumber);
-        auto& endpoint = m_site.addEndpoint(id, [this, mode, id](const Fakes::ReceivedRequest& it) { return answer(it, *mode, id); });
-        m_stands.push_back({ .id = id, .endpoint = &endpoint, .mode = mode });
+        auto& endpoint = m_site.addEndpoint(id, [this, mode, perSecond, id](const Fakes::ReceivedRequest& it) { return answer(it, *mode, *perSecond, id); });
+        m_stands.push_back({ .id = id, .endpoint = &endpoint, .mode = mode, .perSecond = perSecond });
     }
 
     static SoakKind kindOf(const Fakes::ReceivedRequest& it)
@@ -121,7 +125,7 @@
         return it.head.target.starts_with("/stream/") ? SoakKind::Stream : SoakKind::Resumable;
     }
 
-    Answer answer(const Fakes::ReceivedRequest& it, Mode mode, const std::string& endpoint)
+    Answer answer(const Fakes::ReceivedRequest& it, Mode mode, int perSecond, const std::string& endpoint)
     {
         auto kind = kindOf(it);
         SoakArrival arrival { .id = std::string(it.head.value("attempt-id")), .target = it.head.target, .kind = kind, .ran = mode != Mode::Refuses && mode != Mode::Rests, .at = steadyNow(), .endpoint = endpoint };
@@ -130,6 +134,8 @@
         arrival.saysLeaving = mode == Mode::Leaves;
         if (mode == Mode::Rests)
             arrival.rest = askedRest;
+        if (mode == Mode::Limited)
+            arrival.limitPerSecond = perSecond;
         m_record.add(arrival);
         if (mode == Mode::Refuses)
             return { .bytes = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n" };
@@ -145,9 +151,12 @@
             return { .bytes = "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: " + arrival.id + "\r\nServer-Stamp: s\r\nContent-Length: 0\r\n\r\n" };
         if (mode == Mode::Garbles)
             return { .bytes = "these bytes are no answer\r\n\r\n", .ending = Answer::Ending::Close };
+        std::string word = mode == Mode::Leaves ? leavingField : "";
+        if (mode == Mode::Limited)
+            word = "Server-Limit: " + std::to_string(perSecond) + "\r\n";
         if (kind == SoakKind::Once || kind == SoakKind::Safe)
-            return { .bytes = answerTo(it, bodyOf(arrival.id), mode == Mode::Leaves ? leavingField : "") };
-        return { .bytes = stream(it, mode == Mode::Leaves ? leavingField : "") };
+            return { .bytes = answerTo(it, bodyOf(arrival.id), word) };
+        return { .bytes = stream(it, word) };
     }
 
     static std::string bodyOf(const std::string& id) { return "ran " + id; }
@@ -292,7 +301,12 @@
         auto n = random(m_options.nodes);
         constexpr unsigned kinds = 10;
         constexpr unsigned kindsOfNotices = 4;
-        switch (random(kinds + (m_options.notices ? kindsOfNotices : 0))) {
+        constexpr unsigned kindsOfLimits = 4;
+        auto noticed = kinds + (m_options.notices ? kindsOfNotices : 0);
+        auto kind = random(noticed + (m_options.limits ? kindsOfLimits : 0));
+        if (kind >= noticed)
+            return nameLimit();
+        switch (kind) {
         case 0:
             return restart(n, SIGKILL);
         case 1:
@@ -420,6 +434,19 @@
         later(askedRest + Milliseconds(random(2000)), [mode = stand.mode] { *mode = Mode::Sound; });
     }
 
+    // For longer than news take, lowered or raised meanwhile.
+    void nameLimit()
+    {
+        static constexpr std::array limits { 1, 2, 5, 20 };
+        auto& stand = m_stands[random(static_cast<unsigned>(m_stands.size()))];
+        if (*stand.mode != Mode::Sound)
+            return;
+        *stand.perSecond = limits[random(limits.size())];
+        *stand.mode = Mode::Limited;
+        later(Milliseconds(2000 + random(3000)), [perSecond = stand.perSecond, next = limits[random(limits.size())]] { *perSecond = next; });
+        later(Milliseconds(6000 + random(3000)), [mode = stand.mode] { *mode = Mode::Sound; });
+    }
+
     // One goes, with or without a word, and another one comes; so do those that crashed.
     void replaceEndpoint()
     {
