--- a/modules/forward/exchange_notes.cpp
+++ b/modules/forward/exchange_notes.cpp
@@ -132,7 +132,8 @@
     LimitWord word { .endpoint = life, .perSecond = std::min(perSecond, unlimitedPerSecond), .sentAt = m_context.trueMilliseconds(m_sentAt), .heardAt = m_context.trueMilliseconds(now) };
     if (!limits.hear(word, now))
         return;
-    logEvent(LogLevel::Info, "endpoint_limit", { { "request_id", m_requestId }, { "endpoint", life.id }, { "born", life.born }, { "per_s", limits.perSecond(life).value_or(-1) } });
+    if (m_context.noticeLines.take(now))
+        logEvent(LogLevel::Info, "endpoint_limit", { { "request_id", m_requestId }, { "endpoint", life.id }, { "born", life.born }, { "per_s", limits.perSecond(life).value_or(-1) } });
     if (m_context.tellLimits)
         m_context.tellLimits();
 }
--- a/tests/fuzz/fuzz_documents.cpp
+++ b/tests/fuzz/fuzz_documents.cpp
@@ -5,6 +5,7 @@
 #include "core/utf8.h"
 #include "modules/control/endpoint_history.h"
 #include "modules/peers/group_sum.h"
+#include "modules/peers/limit_messages.h"
 #include "modules/suspects/suspect_book.h"
 #include "platform/decoders.h"
 #include "platform/store_pages.h"
--- a/tests/modules/limits/limit_simulation.h
+++ b/tests/modules/limits/limit_simulation.h
@@ -29,7 +29,7 @@
         , m_random(options.seed)
     {
         for (unsigned n = 0; n < options.givers; ++n)
-            m_givers.push_back({ .limits = newLimits(options.seed * 1000 + n), .phase = Milliseconds(n * 37 % options.period.count()) });
+            m_givers.push_back({ .limits = newLimits(options.seed * 1000 + n), .phase = Milliseconds(37) * n % options.period });
     }
 
     // An answer names so much, which the giver hears.
