Keep to limits that engines and plain endpoints of the own interface name

Endpoints name a limit in answers now, and each gateway takes an even part, by the same words and credits as entry nodes.

--- a/modules/request/endpoint_directory.cpp
+++ b/modules/request/endpoint_directory.cpp
@@ -134,7 +134,7 @@
         return Milliseconds(0);
     std::optional<Milliseconds> first;
     auto consider = [&](const std::string& endpoint) {
-        auto left = m_loads.restLeft(endpoint);
+        auto left = m_loads.untilReady(endpoint);
         first = std::min(first.value_or(left), left);
     };
     if (spec->type == ServiceType::Model) {
@@ -146,7 +146,7 @@
     return first.value_or(Milliseconds(0));
 }
 
-bool EndpointDirectory::isResting(const std::string& endpoint) const { return m_loads.restLeft(endpoint).count() > 0; }
+bool EndpointDirectory::isResting(const std::string& endpoint) const { return m_loads.untilReady(endpoint).count() > 0; }
 
 bool EndpointDirectory::isLeaving(const std::string& endpoint) const
 {
--- a/modules/request/endpoint_directory.h
+++ b/modules/request/endpoint_directory.h
@@ -29,7 +29,7 @@
 public:
     EndpointDirectory(const StateReplica&, const MembershipServer&, LoadTracker&, EndpointDirectoryOptions);
 
-    // The endpoints that serve the service's model version, without those that leave or rest and those in `excluded`. Those that turned a
+    // The endpoints that serve the service's model version, without those that leave, rest or take no more for now, and those in `excluded`. Those that turned a
     // request away a moment ago only where there are no others.
     std::vector<RouteCandidate> candidates(const std::string& service, std::uint64_t prefixHash, const std::set<std::string>& excluded) const;
     // Empty where a candidate can take the request without being late, or there is none at all. Otherwise how late it would be.
@@ -38,7 +38,7 @@
     RouteDecision choose(const std::vector<RouteCandidate>&, const RouteRequest&) const;
     // Tokens that the engine will have to prefill.
     double expectedPrefill(const RouteCandidate& candidate, const RouteRequest& request) const { return uncachedTokens(candidate, request, m_options.routing); }
-    // How long all endpoints of the service still rest, as they asked this node; 0 where one does not, or there is none.
+    // How long all endpoints of the service still rest, as they asked this node, or take no more from it; 0 where one does, or there is none.
     Milliseconds firstBack(const std::string& service) const;
     // Fixed endpoints of a plain service, chosen in the same way.
     std::vector<PlainEndpoint> plainEndpoints(const std::string& service, const std::set<std::string>& excluded) const;
@@ -63,6 +63,7 @@
     // Those that serve the service and do not leave, resting ones included: engines of this node's part, and fixed endpoints.
     std::vector<Endpoint> stayingEngines(const ServiceSpec&, const Configuration&) const;
     std::vector<PlainEndpoint> stayingPlain(const ServiceSpec&) const;
+    // Or takes no more for now.
     bool isResting(const std::string& endpoint) const;
 
     // The part of the endpoints that follows from one state.
--- a/modules/request/model_runner.cpp
+++ b/modules/request/model_runner.cpp
@@ -123,11 +123,15 @@
         return Step::Continue;
     }
     progress.waitingSince.reset();
+    const auto& endpoint = candidates[*decision.candidate].endpoint;
+    if (!m_directory.loads().takeCredit(endpoint.id)) {
+        progress.excluded.insert(endpoint.id);
+        return Step::Continue;
+    }
     if (progress.attempts > 0 && !request.mayHaveRun() && !m_retries.takeRetry())
         return finish(request, RequestOutcome::NotRun, "the retry budget of this node is used up");
     ++progress.attempts;
 
-    const auto& endpoint = candidates[*decision.candidate].endpoint;
     EngineStreamRequest start {
         .streamId = newAttemptId(),
         .model = served->model,
@@ -151,12 +155,14 @@
     EngineStream stream(endpoint.address);
     if (!request.attach(&stream)) {
         // Interrupted before the first byte left.
+        m_directory.loads().giveCreditBack(endpoint.id);
         request.setPlace({});
         return Step::Continue;
     }
     auto life = fastHash(endpoint.id);
     progress.sentAt = steadyNow();
     m_suspects.use([&](SuspectBook& book) { book.onSent(digestOf(description), life, zoneHash(endpoint.zone)); });
+    stream.onHead([&](std::optional<double> limit) { m_directory.loads().namedLimit(endpoint.id, limit, progress.sentAt, m_directory.gatewayCount()); });
     auto end = stream.start(start, [&](const EngineEvent& event) { return receive(request, start.streamId, event); });
     request.detach();
     if (auto rest = stream.askedRest())
@@ -303,7 +309,8 @@
         const auto& description = request.description();
         auto candidates = m_directory.candidates(description.service, prefixHashOf(description.prompt), progress.excluded);
         auto choice = m_directory.choose(candidates, { .promptTokens = 0, .expectedTokens = description.maximumTokens });
-        if (choice.candidate && transferCache(request, candidates[*choice.candidate].endpoint)) {
+        bool mayMove = choice.candidate && m_directory.loads().takeCredit(candidates[*choice.candidate].endpoint.id);
+        if (mayMove && transferCache(request, candidates[*choice.candidate].endpoint)) {
             progress.resumes = 0;
             progress.inFlight = m_directory.loads().begin(candidates[*choice.candidate].endpoint.id, prefixHashOf(description.prompt), 0, 1);
             return Step::Continue;
--- a/modules/request/plain_call.cpp
+++ b/modules/request/plain_call.cpp
@@ -1,6 +1,7 @@
 #include "modules/request/plain_call.h"
 #include "core/net/http_status.h"
 #include "core/net/retry_after.h"
+#include "servers/engine/named_limit.h"
 
 #include <algorithm>
 #include <random>
@@ -51,12 +52,14 @@
             std::this_thread::sleep_for(backoff);
             backoff *= 2;
         }
-        // The one with the fewest calls of this node.
-        auto load = [this](const PlainEndpoint& it) { return m_directory.loads().load(it.id, 0).ownInFlight; };
-        auto chosen = *std::min_element(endpoints.begin(), endpoints.end(), [&](const auto& left, const auto& right) { return load(left) < load(right); });
-        tried.insert(chosen.id);
-        auto inFlight = m_directory.loads().begin(chosen.id, 0, 0, 1);
-        auto answer = trySuspected(request, chosen, deadline);
+        auto chosen = chooseWithCredit(std::move(endpoints));
+        if (!chosen) {
+            reason = "the endpoints take no more for now";
+            break;
+        }
+        tried.insert(chosen->id);
+        auto inFlight = m_directory.loads().begin(chosen->id, 0, 0, 1);
+        auto answer = trySuspected(request, *chosen, deadline);
         if (!answer) {
             reason = "no endpoint could be reached";
             continue;
@@ -69,6 +72,15 @@
     return { .outcome = mayHaveRun ? RequestOutcome::Unknown : RequestOutcome::NotRun, .reason = reason };
 }
 
+// The one with the fewest calls of this node, of those that still take one.
+std::optional<PlainEndpoint> PlainCall::chooseWithCredit(std::vector<PlainEndpoint> endpoints) const
+{
+    auto load = [this](const PlainEndpoint& it) { return m_directory.loads().load(it.id, 0).ownInFlight; };
+    std::stable_sort(endpoints.begin(), endpoints.end(), [&](const auto& left, const auto& right) { return load(left) < load(right); });
+    auto it = std::find_if(endpoints.begin(), endpoints.end(), [this](const PlainEndpoint& endpoint) { return m_directory.loads().takeCredit(endpoint.id); });
+    return it == endpoints.end() ? std::nullopt : std::optional(*it);
+}
+
 // A call whose outcome is unknown may have ended its endpoint; whether it did, good answers tell.
 std::optional<PlainAnswer> PlainCall::trySuspected(const PlainRequest& request, const PlainEndpoint& endpoint, SteadyTime deadline)
 {
@@ -108,6 +120,7 @@
         .contentType = request.contentType,
         .readTimeout = std::min(m_options.silenceLimit, left),
     };
+    auto sentAt = steadyNow();
     PlainAnswer answer { .outcome = RequestOutcome::Completed };
     bool notStarted = false;
     bool tooLarge = false;
@@ -116,6 +129,7 @@
         answer.contentType = reply.header("content-type");
         if (auto rest = HttpStatus::turnsAway(reply.status) ? parseRetryAfter(reply.header("retry-after")) : std::nullopt)
             m_directory.loads().askedRest(endpoint.id, *rest);
+        m_directory.loads().namedLimit(endpoint.id, namedLimit(reply), sentAt, m_directory.gatewayCount());
         notStarted = reply.status == HttpStatus::serviceUnavailable && !reply.header(notStartedHeader).empty();
         return true;
     };
--- a/modules/request/plain_call.h
+++ b/modules/request/plain_call.h
@@ -52,6 +52,7 @@
 
 private:
     // Empty where the endpoint certainly did not start it, so that another one may be tried.
+    std::optional<PlainEndpoint> chooseWithCredit(std::vector<PlainEndpoint>) const;
     std::optional<PlainAnswer> trySuspected(const PlainRequest&, const PlainEndpoint&, SteadyTime deadline);
     std::optional<PlainAnswer> tryEndpoint(const PlainRequest&, const PlainEndpoint&, SteadyTime deadline);
 
--- a/modules/routing/load_tracker.cpp
+++ b/modules/routing/load_tracker.cpp
@@ -116,6 +116,39 @@
     return std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(m_rests.endOf({ .id = endpoint }) - steadyNow()));
 }
 
+void LoadTracker::namedLimit(const std::string& endpoint, std::optional<double> perSecond, SteadyTime sentAt, unsigned gateways)
+{
+    std::lock_guard lock(m_mutex);
+    EndpointLife life { .id = endpoint };
+    if (!perSecond && !m_limits.knows(life))
+        return;
+    auto now = steadyNow();
+    auto milliseconds = [](SteadyTime at) { return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(at.time_since_epoch()).count()); };
+    m_limits.setSpeakingPart(1.0 / std::max(1U, gateways));
+    m_limits.hear({ .endpoint = life, .perSecond = std::min(perSecond.value_or(unlimitedPerSecond), unlimitedPerSecond), .sentAt = milliseconds(sentAt), .heardAt = milliseconds(now) }, now);
+}
+
+bool LoadTracker::takeCredit(const std::string& endpoint)
+{
+    std::lock_guard lock(m_mutex);
+    return m_limits.take({ .id = endpoint }, 1, steadyNow());
+}
+
+void LoadTracker::giveCreditBack(const std::string& endpoint)
+{
+    std::lock_guard lock(m_mutex);
+    m_limits.giveBack({ .id = endpoint }, steadyNow());
+}
+
+Milliseconds LoadTracker::untilReady(const std::string& endpoint) const
+{
+    std::lock_guard lock(m_mutex);
+    EndpointLife life { .id = endpoint };
+    auto now = steadyNow();
+    auto ready = std::max(m_rests.endOf(life), m_limits.creditAt(life, now));
+    return std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(ready - now));
+}
+
 void LoadTracker::onTurnedAway(const std::string& endpoint)
 {
     std::lock_guard lock(m_mutex);
--- a/modules/routing/load_tracker.h
+++ b/modules/routing/load_tracker.h
@@ -3,6 +3,7 @@
 
 #include "modules/balance/endpoint_health.h"
 #include "modules/balance/endpoint_rests.h"
+#include "modules/limits/endpoint_limits.h"
 #include "modules/routing/route.h"
 #include "servers/engine/engine_client.h"
 #include <list>
@@ -45,6 +46,15 @@
     void askedRest(const std::string& endpoint, Milliseconds);
     // How long it still rests; 0 where it does not.
     Milliseconds restLeft(const std::string& endpoint) const;
+    // An answer to what was sent at `sentAt` names how many requests a second it takes from all gateways together, or names none. This one
+    // takes an even part of it.
+    void namedLimit(const std::string& endpoint, std::optional<double> perSecond, SteadyTime sentAt, unsigned gateways);
+    // A request is to be sent there; returns whether it may.
+    bool takeCredit(const std::string& endpoint);
+    // It was not sent.
+    void giveCreditBack(const std::string& endpoint);
+    // Until it rests no longer and there may be a credit; 0 where it may be asked at once.
+    Milliseconds untilReady(const std::string& endpoint) const;
     // It did not start a request: it answers sooner than any other and has nothing in flight, and would be chosen for the next one, too.
     void onTurnedAway(const std::string& endpoint);
     // It ran one.
@@ -72,6 +82,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, Entry> m_entries {};
     EndpointRests m_rests {};
+    EndpointLimits m_limits {};
 };
 
 } // namespace Onyxnotch
--- a/servers/engine/engine_client.cpp
+++ b/servers/engine/engine_client.cpp
@@ -5,6 +5,7 @@
 #include "core/net/http_status.h"
 #include "core/net/retry_after.h"
 #include "core/net/server_sent_events.h"
+#include "servers/engine/named_limit.h"
 
 namespace Onyxnotch {
 
@@ -81,6 +82,7 @@
         status = reply.status;
         if (HttpStatus::turnsAway(status))
             m_askedRest = parseRetryAfter(reply.header("retry-after"));
+        m_onHead(namedLimit(reply));
         return reply.ok();
     };
     auto result = m_stream->run(call, onHeaders, [&](std::string_view data) { return parser.feed(data); });
--- a/servers/engine/engine_client.h
+++ b/servers/engine/engine_client.h
@@ -77,6 +77,8 @@
     EngineStreamEnd resume(const std::string& streamId, std::uint64_t offset, const Receiver&);
     // Stops the reading only; the engine goes on.
     void detach();
+    // Called when the head of an answer is there, with the limit that it names.
+    void onHead(std::function<void(std::optional<double> limitPerSecond)> hook) { m_onHead = std::move(hook); }
     // Where the engine turned the request away and said for how long it wants nothing.
     std::optional<Milliseconds> askedRest() const { return m_askedRest; }
 
@@ -85,6 +87,7 @@
 
     std::unique_ptr<HttpStream> m_stream;
     std::optional<Milliseconds> m_askedRest {};
+    std::function<void(std::optional<double>)> m_onHead { [](std::optional<double>) {} };
 };
 
 // An order to load a model version with adapters. The engine refuses a fence lower than the highest it has seen, if it checks fences.
--- a/tests/fakes/model_engine.cpp
+++ b/tests/fakes/model_engine.cpp
@@ -72,7 +72,7 @@
         server.route("GET", "/v1/load", [this](const HttpRequest&) { return load(); });
         server.route("POST", "/v1/orders", [this](const HttpRequest& it) { return order(bodyOf(it)); });
         server.route("GET", "/control", [this](const HttpRequest&) { return counts(); });
-        // {"fault":"refuse|cut|truncate|cross|repeat|gap|early_end","after":N,"retry_after":"2"}; {"leaving":true}
+        // {"fault":"refuse|cut|truncate|cross|repeat|gap|early_end","after":N,"retry_after":"2"}; {"leaving":true}; {"limit":"2"}: named with each stream's start
         server.route("POST", "/control", [this](const HttpRequest& it) { return control(bodyOf(it)); });
     }
 
@@ -138,8 +138,12 @@
         // Prefills are done one after the other.
         m_prefillFreeAt = std::max(m_prefillFreeAt, steadyNow()) + std::chrono::microseconds(static_cast<std::int64_t>(1e6 * (tokens - cached) / m_prefillRate));
         m_streams[id].firstTokenAt = m_prefillFreeAt;
+        auto limit = m_limit;
         lock.unlock();
-        return streamFrom(id, prior.size());
+        auto answer = streamFrom(id, prior.size());
+        if (!limit.empty())
+            answer.headers.emplace("Onyxnotch-Limit", limit);
+        return answer;
     }
 
     // How many of the prompt's tokens are cached: its leading blocks that are known, each by all of the text up to it. Afterwards all
@@ -355,6 +359,7 @@
         m_fault = wish.value("fault", m_fault);
         m_faultAfter = wish.value("after", 0U);
         m_retryAfter = wish.value("retry_after", m_retryAfter);
+        m_limit = wish.value("limit", m_limit);
         m_leaving = wish.value("leaving", m_leaving);
         return reply(200, wish);
     }
@@ -382,6 +387,7 @@
     std::string m_fault;
     unsigned m_faultAfter { 0 };
     std::string m_retryAfter {}; // With a refusal.
+    std::string m_limit {};
     bool m_leaving { false };
     Json m_report = Json::object();
     SteadyTime m_reportedAt;
--- a/tests/fakes/plain_service.cpp
+++ b/tests/fakes/plain_service.cpp
@@ -21,7 +21,7 @@
     {
         server.route("GET", "/control/runs", [this](const HttpRequest&) { return runs(); });
         // {"hold":true}: calls wait until it is taken back. {"refuse":true}: calls are refused as not started, with
-        // {"retry_after":"2"} for so many seconds.
+        // {"retry_after":"2"} for so many seconds. {"limit":"2"}: answers name that many calls a second.
         server.route("POST", "/control", [this](const HttpRequest& it) { return control(bodyOf(it)); });
         server.route("POST", "/.*", [this](const HttpRequest& it) { return run(it); });
     }
@@ -42,7 +42,10 @@
         auto count = ++m_runs[id];
         m_changed.notify_all();
         m_changed.wait(lock, [this] { return !m_hold; });
-        return reply(200, { { "ran", count }, { "path", request.path }, { "body", request.body } });
+        auto answer = reply(200, { { "ran", count }, { "path", request.path }, { "body", request.body } });
+        if (!m_limit.empty())
+            answer.headers.emplace("Onyxnotch-Limit", m_limit);
+        return answer;
     }
 
     HttpResponse control(const Json& wish)
@@ -51,6 +54,7 @@
         m_hold = wish.value("hold", m_hold);
         m_refuse = wish.value("refuse", m_refuse);
         m_retryAfter = wish.value("retry_after", m_retryAfter);
+        m_limit = wish.value("limit", m_limit);
         m_changed.notify_all();
         return reply(200, wish);
     }
@@ -67,6 +71,7 @@
     bool m_hold { false };
     bool m_refuse { false };
     std::string m_retryAfter {};
+    std::string m_limit {};
 };
 
 } // namespace
