--- a/modules/entry/entry_limits.cpp
+++ b/modules/entry/entry_limits.cpp
@@ -73,7 +73,7 @@
     auto now = steadyNow();
     m_toldAt = now;
     if (!m_usesRelays) {
-        m_exchange.sendTo(m_exchange.receivers(), MessageType::LimitNews, news(words, true, now));
+        m_exchange.sendTo(m_exchange.everyNode(), MessageType::LimitNews, news(words, true, now));
         return;
     }
     bool isRelay = m_relay.isRelay(now);
@@ -87,7 +87,7 @@
 
 void EntryLimits::onNews(const LimitNews& news)
 {
-    bool changed = limits().onNews(news, steadyNow());
+    bool changed = limits().onNews(news, m_forward.trueMilliseconds(), steadyNow());
     if (changed && m_usesRelays && m_relay.isRelay(steadyNow()))
         tellSoon();
 }
--- a/modules/limits/endpoint_limits.cpp
+++ b/modules/limits/endpoint_limits.cpp
@@ -12,11 +12,13 @@
     return true;
 }
 
-bool EndpointLimits::onNews(const LimitNews& news, SteadyTime now)
+bool EndpointLimits::onNews(const LimitNews& news, std::uint64_t fleetMilliseconds, SteadyTime now)
 {
     bool changed = false;
-    for (const auto& it : news.words)
-        changed = hear(it, now) || changed;
+    for (const auto& it : news.words) {
+        bool isAhead = std::max(it.heardAt, it.sentAt) > fleetMilliseconds + m_options.aheadMilliseconds;
+        changed = (!isAhead && hear(it, now)) || changed;
+    }
     m_credits.onUses(news.node, news.lifetime, news.uses, now);
     return changed;
 }
--- a/modules/limits/endpoint_limits.h
+++ b/modules/limits/endpoint_limits.h
@@ -26,6 +26,8 @@
     // In one message: some four and three kilobytes. Of more, others are told each time.
     std::size_t wordsTold { 64 };
     std::size_t usesTold { 128 };
+    // A word from further ahead is of a node whose clock is wrong, and would hold against all that are said until then.
+    std::uint64_t aheadMilliseconds { 500 };
 };
 
 class EndpointLimits {
@@ -39,8 +41,8 @@
 
     // Returns whether what is in force has changed.
     bool hear(const LimitWord&, SteadyTime now);
-    // The same of what another node heard and gave.
-    bool onNews(const LimitNews&, SteadyTime now);
+    // The same of what another node heard and gave. `fleetMilliseconds`: the fleet's time, now.
+    bool onNews(const LimitNews&, std::uint64_t fleetMilliseconds, SteadyTime now);
     bool knows(const EndpointLife& life) const { return m_words.knows(life); }
     std::optional<LimitWord> word(const EndpointLife& life) const { return m_words.find(life); }
     std::optional<double> perSecond(const EndpointLife& life) const { return m_words.perSecond(life); }
--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -254,12 +254,17 @@
 
 void PeerExchange::sendTo(const Address& address, const PeerRow& row) { sendBytes(address, encode(row)); }
 
-void PeerExchange::greetAll(const PeerRow& row)
+std::vector<Address> PeerExchange::everyNode()
 {
     std::vector<Address> addresses;
     addSome(m_table.contacts(), m_options.greetingFanOut, addresses);
+    return addresses;
+}
+
+void PeerExchange::greetAll(const PeerRow& row)
+{
     auto bytes = encode(row);
-    for (const auto& it : addresses)
+    for (const auto& it : everyNode())
         sendBytes(it, bytes);
 }
 
--- a/modules/peers/peer_exchange.h
+++ b/modules/peers/peer_exchange.h
@@ -24,7 +24,7 @@
     std::size_t zoneFanOut { 32 };
     // Of the other zones, this many hear each row, chosen anew each time; a small fleet hears all.
     std::size_t otherFanOut { 8 };
-    // Of one greeting: some 100 KB at most, once in a life. A larger fleet hears the rest by and by.
+    // Of a greeting, some 100 KB at most, once in a life, and of what every node is told at once. A larger fleet hears the rest by and by.
     std::size_t greetingFanOut { 128 };
     // Besides the holder of the duties, so many nodes, chosen anew each time, hear of usage: a holder may be lost with what it has heard.
     std::size_t usageFanOut { 8 };
@@ -72,8 +72,8 @@
         for (const auto& it : addresses)
             sendBytes(it, bytes);
     }
-    // Whom a row goes to in a fleet that needs no relays, drawn anew each time.
-    std::vector<Address> receivers();
+    // All that are known so far, up to a bound.
+    std::vector<Address> everyNode();
     // To every node that is known so far, up to a bound: they answer, so that a node that has just started hears all at once.
     void greetAll(const PeerRow&);
     void addContact(const PeerContact&);
@@ -86,6 +86,7 @@
     Status takeMessage(const Frame&);
     void takeRow(const PeerMessage&);
     Status takeSum(const Frame&);
+    std::vector<Address> receivers();
     Status takeLimitNews(const Frame&);
     Status takeCreditMessage(const Frame&);
     Address sender() const;
--- a/tests/fuzz/fuzz_documents.cpp
+++ b/tests/fuzz/fuzz_documents.cpp
@@ -85,7 +85,7 @@
     constexpr std::size_t most = 16;
     constexpr SteadyTime now { std::chrono::hours(1) };
     EndpointLimits limits({ .words = { .most = most }, .wordsTold = most }, 1);
-    limits.onNews(news, now);
+    limits.onNews(news, 1000000, now);
     require(limits.limited() <= most && limits.takeWordsTold().size() <= most);
     for (const auto& it : news.words) {
         (void)limits.take(it.endpoint, 1, now);
--- a/tests/modules/limits/limit_simulation.h
+++ b/tests/modules/limits/limit_simulation.h
@@ -123,7 +123,7 @@
             auto message = m_messages.top();
             m_messages.pop();
             auto& it = m_givers[message.to];
-            if (it.up && it.limits->onNews(*message.news, m_now))
+            if (it.up && it.limits->onNews(*message.news, milliseconds(), m_now))
                 tellSoon(it);
         }
         for (unsigned n = 0; n < m_givers.size(); ++n) {
--- a/tests/modules/limits/test_endpoint_limits.cpp
+++ b/tests/modules/limits/test_endpoint_limits.cpp
@@ -230,4 +230,16 @@
     BOOST_TEST(credits.take(endpoint, 1, start + Milliseconds(1100)));
 }
 
+// A node whose clock was ahead ended a limit for as long as it was ahead, whatever the endpoint said meanwhile.
+BOOST_AUTO_TEST_CASE(a_word_from_the_future_says_nothing)
+{
+    EndpointLimits limits({}, 1);
+    limits.hear({ .endpoint = endpoint, .perSecond = 1, .sentAt = 1000, .heardAt = 1010 }, start);
+    LimitNews news { .node = "b", .lifetime = 1, .words = { { .endpoint = endpoint, .perSecond = unlimitedPerSecond, .sentAt = 6000, .heardAt = 6010 } } };
+    BOOST_TEST(!limits.onNews(news, 1020, start));
+    BOOST_TEST(limits.isLimited(endpoint));
+    BOOST_TEST(limits.onNews(news, 6020, start));
+    BOOST_TEST(!limits.isLimited(endpoint));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
