--- a/misc/fuzz.sh
+++ b/misc/fuzz.sh
@@ -25,4 +25,4 @@
 fuzz fuzz_wire_input corpus "$runs" core/net/http_parser.cpp modules/forward/event_stream.cpp -lhttp_parser
 # Each input is read as a document, as messages and as compressed text: slower by a factor of ten.
 fuzz fuzz_documents corpus_documents "$((runs / 10))" core/deflate.cpp core/digest.cpp core/outcome.cpp core/utf8.cpp core/net/address.cpp core/net/frame.cpp \
-    modules/balance/prefix_cache.cpp modules/control/endpoint_history.cpp modules/peers/group_sum.cpp modules/suspects/suspect_book.cpp modules/suspects/suspect_news.cpp platform/decoders.cpp platform/store_pages.cpp -lcrypto -lxxhash -lz -lpthread
+    modules/balance/prefix_cache.cpp modules/control/endpoint_history.cpp modules/limits/endpoint_credits.cpp modules/limits/endpoint_limits.cpp modules/limits/limit_words.cpp modules/peers/group_sum.cpp modules/suspects/suspect_book.cpp modules/suspects/suspect_news.cpp platform/decoders.cpp platform/store_pages.cpp -lcrypto -lxxhash -lz -lpthread
