--- a/core/net/frame.h
+++ b/core/net/frame.h
@@ -35,7 +35,7 @@
     ZoneSum = 16, // Of a relay's zone, to the relays of the other zones.
     FleetSum = 17, // Of all zones, to the nodes of the relay's zone.
     SuspectNotice = 18, // Endpoints have just ended under requests.
-    LimitNews = 19, // What endpoints in need take.
+    LimitNews = 19, // What limited endpoints take.
     CreditAsk = 20, // To a relay, for a request to such an endpoint.
     CreditAnswer = 21,
     CreditReturn = 22,
--- a/modules/entry/entry_limits.h
+++ b/modules/entry/entry_limits.h
@@ -1,4 +1,4 @@
-// How the nodes share what endpoints in need take (EndpointLimits): who gives credits, and what is told when. Belongs to the request thread.
+// How the nodes share what limited endpoints take (EndpointLimits): who gives credits, and what is told when. Belongs to the request thread.
 //
 // Up to the size at which each node tells every other one, each gives credits itself. In a larger fleet the relays do, for the nodes of their
 // zones: an endpoint that takes one request a second leaves 300 nodes nothing to share out by news that are a quarter of a second old, and
--- a/modules/limits/endpoint_credits.h
+++ b/modules/limits/endpoint_credits.h
@@ -1,4 +1,4 @@
-// What endpoints in need take, shared by the nodes that give credits for it: a credit is one request. Each of them has a bucket for each
+// What limited endpoints take, shared by the nodes that give credits for it: a credit is one request. Each of them has a bucket for each
 // such endpoint that fills at the whole rate and is drained by what all of them give, its own at once and the others' as they tell. What
 // they have not told yet nobody can see: where many ask, each ask gets a credit by chance, so that all together are expected to give no more
 // than there is until they hear of each other. A pure state machine, with the time passed in.
--- a/modules/limits/limit_words.h
+++ b/modules/limits/limit_words.h
@@ -1,4 +1,4 @@
-// What endpoints in need say of how much they take: requests a second from all nodes together, for as long as they say so. Kept by life and
+// What endpoints say of how much they take: requests a second from all nodes together, for as long as they say so. Kept by life and
 // apart from the list; joined from what every node heard. Pure.
 #pragma once
 
--- a/tests/modules/limits/test_endpoint_limits.cpp
+++ b/tests/modules/limits/test_endpoint_limits.cpp
@@ -1,4 +1,4 @@
-// What nodes give together of what an endpoint in need takes, by simulation of 9 nodes, and of the relays of 300 and of 420.
+// What nodes give together of what a limited endpoint takes, by simulation of 9 nodes, and of the relays of 300 and of 420.
 #include "tests/modules/limits/limit_simulation.h"
 
 #include <boost/test/unit_test.hpp>
