--- a/core/net/frame.h
+++ b/core/net/frame.h
@@ -39,6 +39,8 @@
     CreditRequest = 20, // Request to a relay node for credits to send requests to an endpoint with an advertised limit.
     CreditAnswer = 21,
     CreditReturn = 22,
+    EndpointSpeeds = 23, // Measured speeds and failures of endpoints, summed over nodes.
+    AdmissionLoad = 24, // Demand on services and what their endpoints took, summed over nodes.
 };
 
 struct Frame {
--- a/modules/peers/fleet_relay.h
+++ b/modules/peers/fleet_relay.h
@@ -73,6 +73,8 @@
     };
     // Receivers of urgent updates from a relay node: the nodes that use it as relay node, and the relay nodes of the other zones.
     std::vector<Address> urgentReceivers(SteadyTime now);
+    // Relay nodes of the other zones.
+    std::vector<Address> otherZonesReceivers(SteadyTime now);
     // Other relay nodes of all zones, as far as this node knows them.
     std::vector<Address> otherRelays(SteadyTime now);
     // Nodes that use this one as relay node.
@@ -118,7 +120,6 @@
     bool storeIfNewer(std::map<std::string, ReceivedAggregate>&, const GroupAggregate&, SteadyTime now);
     void refreshContacts(const GroupAggregate&, SteadyTime now);
     std::vector<const PeerRow*> freshRows(SteadyTime now) const;
-    std::vector<Address> otherZonesReceivers(SteadyTime now);
     void addMembers(std::vector<Address>&, SteadyTime now) const;
     GroupAggregate zoneAggregate(SteadyTime now, bool includeOwnRow);
     GroupAggregate fleetAggregate(SteadyTime now, bool includeOwnRow);
--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -89,11 +89,14 @@
     case MessageType::ZoneAggregate:
     case MessageType::FleetAggregate:
         return handleAggregate(frame);
-    default: {
-        BOOST_OUTCOME_TRY(message, unpackMessage<PeerMessage>(MessageType::PeerRow, frame));
+    case MessageType::PeerRow: {
+        BOOST_OUTCOME_TRY(message, unpackMessage<PeerMessage>(frame.type, frame));
         handleRow(message);
         return success();
     }
+    default:
+        // A newer build may send messages that this one does not know.
+        return success();
     }
 }
 
