Let nodes of a zone that do not know each other find each other's relay nodes

Cause: nodes that start with different contacts (the store turned some away) choose different relay nodes for their zone. Change: a relay node's contacts name all relay nodes of other zones that send it aggregates.

--- a/modules/peers/fleet_relay.cpp
+++ b/modules/peers/fleet_relay.cpp
@@ -233,10 +233,13 @@
             break;
         sum.contacts.push_back(it->contact());
     }
-    // Relay nodes of the other zones, for a node that becomes a relay node.
+    // Relay nodes of the other zones, for a node that becomes a relay node. All that send aggregates are included, so that two groups of a
+    // zone's nodes that chose different relay nodes, because they do not know each other, hear of each other through the other zones.
     for (const auto& [name, zone] : m_remoteZones) {
-        if (const auto* best = mostCompleteOf(zone.aggregatesByRelay, now))
-            sum.contacts.push_back(best->sum.relay);
+        for (const auto& [relay, received] : zone.aggregatesByRelay) {
+            if (now - received.receivedAt <= m_options.freshFor)
+                sum.contacts.push_back(received.sum.relay);
+        }
     }
 }
 
--- a/tests/modules/peers/test_fleet_relay.cpp
+++ b/tests/modules/peers/test_fleet_relay.cpp
@@ -122,6 +122,20 @@
     }
 }
 
+// Nodes of a zone that did not know each other when they started chose different relay nodes and stayed apart: in a fleet of 60 nodes, up to
+// twelve were counted by none of the others, and teams exceeded their limits by a third.
+BOOST_AUTO_TEST_CASE(nodes_that_start_with_different_contacts_agree_on_relay_nodes)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        FleetSimulation fleet({ .nodes = 60, .zones = 4, .seed = seed, .lossFraction = 0.03 });
+        fleet.run(seconds(5));
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            BOOST_TEST(nodesKnowingAll(fleet) == 60U);
+        }
+    }
+}
+
 // Guards against refusals below the limit: without relay nodes, 176 of 1,000 requests at low load on 295 nodes were refused for a limit
 // that their team had not reached.
 BOOST_AUTO_TEST_CASE(no_request_is_refused_below_the_limit)
