Keep team limits when demand rises suddenly, and serve teams after a start

Cause: all nodes admitted from the same level before they knew of each other's admissions, and a node that had just started had nothing to admit until it had heard the others. Change: until the others know, a node admits its share of the level and of what the platform tolerates above the limit (settings teamLimits). A node that starts has its share of that tolerance. A node that hears nothing keeps its share; nodes that become silent are charged with theirs. LimitsInSurges failed before.

--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -48,6 +48,15 @@
                 "reserve": { "type": "number", "minimum": 0, "default": 10, "description": "Beyond that, in each window." }
             }
         },
+        "teamLimits": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "What the platform tolerates above the limit of a team, over all nodes. Without it, nodes neither pace what they admit nor have a reserve after a start.",
+            "properties": {
+                "overshoot": { "type": "number", "minimum": 0, "maximum": 1, "default": 0, "description": "As a part of what the limit allows in a window." },
+                "slackTokens": { "type": "number", "minimum": 0, "default": 0, "description": "Tokens beyond that in each window, for a limit in tokens." },
+                "windowSeconds": { "type": "number", "minimum": 0.1, "default": 8, "description": "Length of the window." }
+            }
+        },
         "rollouts": {
             "type": "object", "additionalProperties": false, "default": {},
             "description": "What a new version of a service may get before it is known to be good. Without it, all versions are used alike and no roll-out is carried out.",
@@ -127,6 +136,8 @@
         entry.forward.startupWait = milliseconds(document["startWaitMs"]);
         entry.forward.usageWindowMilliseconds = static_cast<unsigned>(millisecondsFromSeconds(document["usageWindowSeconds"]).count());
         entry.retries = { .perRequest = document["retries"]["perRequest"], .reserve = document["retries"]["reserve"] };
+        const auto& teamLimits = document["teamLimits"];
+        entry.teamLimitTolerance = { .overshoot = teamLimits["overshoot"], .slackTokens = teamLimits["slackTokens"], .window = millisecondsFromSeconds(teamLimits["windowSeconds"]) };
         auto& rollouts = entry.rollouts;
         rollouts.plan.canaryShare = document["rollouts"]["canaryShare"];
         rollouts.plan.canarySlack = document["rollouts"]["canarySlack"];
--- a/modules/entry/entry_node.h
+++ b/modules/entry/entry_node.h
@@ -34,6 +34,7 @@
     Milliseconds graceMargin { 500 }; // This long before the kill, the node cuts the remaining connections itself.
     ForwardOptions forward {};
     SharedRetryBudgetOptions retries {};
+    TeamLimitTolerance teamLimitTolerance {};
     StoreFollowerOptions follower {};
     EndpointRegistryOptions registry {};
     DutyOptions duties {};
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -31,6 +31,7 @@
     , ownClockDifference(static_cast<std::int64_t>(lifetime) - steadyMilliseconds())
 {
     forward.clockDifference = ownClockDifference;
+    forward.teams.setTolerance(entryOptions.teamLimitTolerance);
     forward.notifySuspects = [this] { scheduleSuspectUpdate(); };
     forward.notifyLongPrefill = [this](const EndpointIncarnation& endpoint, double tokens) { exchange.send(PrefillNotice { .endpoint = endpoint, .tokens = tokens }); };
 }
@@ -156,10 +157,12 @@
     constexpr int freshPeriods = 4;
     constexpr int cautiousPeriods = 10;
     constexpr int silentPeriods = 6;
+    constexpr int propagationPeriods = 3; // A row, a zone aggregate and a fleet aggregate, sent one after the other.
     peers.setSilentAfter(options.gossipPeriod * silentPeriods);
     forward.endpoints.setPeerLoadAge(options.gossipPeriod * stalePeriods);
     forward.teams.setFreshFor(options.gossipPeriod * freshPeriods);
     forward.teams.setStartupPhase(options.gossipPeriod * cautiousPeriods);
+    forward.teams.setPropagationTime(options.gossipPeriod * propagationPeriods);
 }
 
 std::map<EndpointIncarnation, EndpointLoadReport> EntryNode::RequestSide::loadsByIncarnation(const std::map<ShortName, AggregatedLoad>& loads) const
@@ -203,11 +206,13 @@
     constexpr double freshRows = 3;
     // After this number of rows a node has received a row of all other nodes but about three in ten thousand.
     constexpr double cautiousRows = 8;
+    constexpr double propagationRows = 2; // One of the two may be lost.
     auto receiveInterval = static_cast<double>(options.gossipPeriod.count()) / exchange.receivedFraction();
     peers.setSilentAfter(Milliseconds(static_cast<std::int64_t>(receiveInterval * silentRows)));
     forward.endpoints.setPeerLoadAge(Milliseconds(static_cast<std::int64_t>(receiveInterval)));
     forward.teams.setFreshFor(Milliseconds(static_cast<std::int64_t>(receiveInterval * freshRows)));
     forward.teams.setStartupPhase(Milliseconds(static_cast<std::int64_t>(receiveInterval * cautiousRows)));
+    forward.teams.setPropagationTime(Milliseconds(static_cast<std::int64_t>(receiveInterval * propagationRows)));
 }
 
 std::map<EndpointIncarnation, EndpointLoadReport> EntryNode::RequestSide::sumLoads(const std::vector<const PeerRow*>& rows)
--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -22,11 +22,13 @@
 {
     auto latest = std::max(0.0, newTotal - total) / elapsedSeconds;
     perSecond = perSecond ? *perSecond + latestReportWeight * (latest - *perSecond) : latest;
+    average.add(std::max(0.0, newTotal - total), elapsedSeconds);
 }
 
 TeamLimits::TeamLimits(SteadyTime startedAt, const TeamLimitsOptions& options)
     : m_options(options)
     , m_startedAt(startedAt)
+    , m_random(options.randomSeed)
 {
 }
 
@@ -58,12 +60,13 @@
 }
 
 // What an earlier incarnation of this node admitted is unknown. Shortly after the start, the initial level is therefore only what has
-// accumulated since then.
+// accumulated since then, and this node's share of what the platform tolerates above the limit.
 double TeamLimits::initialLevel(const TrafficTeam& team, SteadyTime now) const
 {
     if (!isStartingUp(now))
         return team.burst;
-    return std::min(team.burst, team.ratePerSecond * seconds(now - m_startedAt) * spendableShare(now));
+    auto accumulated = team.ratePerSecond * seconds(now - m_startedAt) * spendableShare(now);
+    return std::min(team.burst, accumulated + usableTolerance(team) * evenShare());
 }
 
 void TeamLimits::advance(const std::string& team, Bucket& bucket, SteadyTime now)
@@ -105,6 +108,82 @@
     return isSmall && allPeersReport(now) ? -team.ratePerSecond * m_options.smallDebtSeconds : 0;
 }
 
+double TeamLimits::usableTolerance(const TrafficTeam& team) const
+{
+    const auto& tolerance = m_options.tolerance;
+    auto amount = tolerance.overshoot * (team.ratePerSecond * seconds(tolerance.window) + team.burst);
+    if (team.countsTokens)
+        amount += tolerance.slackTokens;
+    return amount * m_options.usedTolerance;
+}
+
+double TeamLimits::evenShare() const { return 1 / std::max(reportingNodes(), static_cast<double>(m_options.expectedNodes)); }
+
+SteadyTime TeamLimits::latestReportAt() const
+{
+    SteadyTime latest {};
+    for (const auto& [node, peer] : m_peers)
+        latest = std::max(latest, peer.receivedAt);
+    return latest;
+}
+
+void TeamLimits::updatePace(Bucket& bucket, SteadyTime now) const
+{
+    auto reportAt = latestReportAt();
+    // Without reports this node may be cut off: then the others know of nothing that it has admitted since, and its share stays.
+    if (reportAt != bucket.paceReportAt)
+        bucket.pace.updateAverage(now);
+    bucket.paceReportAt = reportAt;
+    auto sinceReport = reportAt == SteadyTime {} ? Milliseconds(0) : std::max(Milliseconds(0), toMilliseconds(now - reportAt));
+    bucket.pace.forgetOlderThan(m_options.propagationTime + sinceReport, now);
+}
+
+double TeamLimits::paceShare(const std::string& team, const Bucket& bucket) const
+{
+    double othersPerSecond = 0;
+    for (const auto& [node, peer] : m_peers) {
+        auto use = peer.uses.find(team);
+        if (use != peer.uses.end())
+            othersPerSecond += use->second.average.perSecond();
+    }
+    auto demand = bucket.pace.perSecond() + othersPerSecond;
+    auto demandShare = demand > 0 ? bucket.pace.perSecond() / demand : evenShare();
+    return m_options.evenPaceShare * evenShare() + (1 - m_options.evenPaceShare) * demandShare;
+}
+
+// When a team's demand rises suddenly, all nodes admit from the same level before they know of each other's admissions: at eight times the
+// limit, they exceeded it by two seconds of the rate. Until the others know, each node therefore admits at most its share of what was
+// available to all.
+bool TeamLimits::isWithinPace(const TrafficTeam& team, const Bucket& bucket, double amount, SteadyTime now)
+{
+    if (!hasTolerance() || m_peers.empty())
+        return true;
+    auto unknownToOthers = bucket.pace.recentAmount();
+    double othersUnreported = 0; // Charged to the bucket by estimate.
+    for (const auto& [node, peer] : m_peers) {
+        auto use = peer.uses.find(team.name);
+        if (use != peer.uses.end())
+            othersUnreported += expectedTotal(peer, use->second, bucket.ratePerSecond, now) - use->second.total;
+    }
+    // A node that is cut off leaves the tolerance to the others.
+    auto tolerance = now - latestReportAt() <= m_options.freshFor ? bucket.tolerance : 0;
+    auto available = paceShare(team.name, bucket) * (bucket.level + unknownToOthers + othersUnreported + tolerance);
+    if (unknownToOthers < available)
+        return true;
+    // With many nodes, a node's share may be less than one request. A draw then lets the nodes together admit about what is available.
+    return unknownToOthers <= 0 && std::uniform_real_distribution<double>(0, amount)(m_random) < available * m_options.firstRequestFactor;
+}
+
+// A node that starts has only its share of the tolerance, which may be less than one request. A draw then lets the starting nodes together
+// use it on average.
+bool TeamLimits::isLevelSufficient(const Bucket& bucket, double required, SteadyTime now)
+{
+    if (bucket.level > required)
+        return true;
+    bool mayDraw = hasTolerance() && isStartingUp(now) && bucket.level > 0;
+    return mayDraw && std::uniform_real_distribution<double>(0, required)(m_random) < bucket.level;
+}
+
 std::optional<Milliseconds> TeamLimits::admit(const TrafficTeam& team, double amount, SteadyTime now)
 {
     if (team.ratePerSecond <= 0)
@@ -114,14 +193,20 @@
         bucket = { .level = initialLevel(team, now), .updatedAt = now };
     bucket.ratePerSecond = team.ratePerSecond;
     bucket.burst = team.burst;
+    bucket.tolerance = usableTolerance(team);
     advance(team.name, bucket, now);
+    updatePace(bucket, now);
     auto required = requiredLevel(team, amount, now);
-    if (bucket.level > required) {
+    bool isWithinLimit = isLevelSufficient(bucket, required, now);
+    if (isWithinLimit && isWithinPace(team, bucket, amount, now)) {
         bucket.level -= amount;
+        bucket.pace.onAdmitted(amount, now);
         m_ownTotals[team.name] += amount;
         return std::nullopt;
     }
-    auto wait = Milliseconds(static_cast<std::int64_t>((required - bucket.level) / team.ratePerSecond * 1000));
+    auto wait = m_options.propagationTime;
+    if (!isWithinLimit)
+        wait = Milliseconds(static_cast<std::int64_t>((required - bucket.level) / team.ratePerSecond * 1000));
     return std::clamp(wait, minRetryDelay, maxRetryDelay);
 }
 
@@ -131,6 +216,7 @@
     if (it == m_buckets.end())
         return;
     it->second.level += amount;
+    it->second.pace.onRefunded(amount);
     m_ownTotals[team] -= amount;
 }
 
@@ -159,12 +245,23 @@
     }
 }
 
+// Nodes that have become silent may have been cut off with their part of the burst and of the tolerance, and admit it unknown to the others.
+void TeamLimits::chargeNewlySilent(double silentNodes, double allNodes)
+{
+    if (!hasTolerance() || silentNodes <= 0)
+        return;
+    for (auto& [team, bucket] : m_buckets)
+        bucket.level -= silentNodes / allNodes * (bucket.burst + bucket.tolerance);
+}
+
 void TeamLimits::onFleetTotals(unsigned nodes, unsigned silentNodes, const std::map<std::string, double>& totals, SteadyTime receivedAt)
 {
     bool isFirst = !m_usesFleetTotals;
     if (isFirst)
         m_peers.clear();
     m_usesFleetTotals = true;
+    if (!isFirst)
+        chargeNewlySilent(silentNodes - m_silentNodes, nodes + silentNodes + 1.0);
     m_silentNodes = silentNodes;
     auto& fleet = m_peers[fleetPeerName];
     fleet.nodes = nodes;
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -3,13 +3,25 @@
 #pragma once
 
 #include "core/clock.h"
+#include "modules/limits/spending_pace.h"
 #include "modules/traffic/traffic_configuration.h"
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 
 namespace Onyxnotch {
 
+// What the platform tolerates above a limit: in any `window` a team may use `overshoot` times (rate * window + burst) more, and for a limit
+// in tokens `slackTokens` in addition. If both are 0, nodes neither pace their admissions nor have a reserve at the start.
+struct TeamLimitTolerance {
+    double overshoot { 0 };
+    double slackTokens { 0 };
+    Milliseconds window { 8000 };
+
+    bool operator==(const TeamLimitTolerance&) const = default;
+};
+
 struct TeamLimitsOptions {
     Milliseconds freshFor { 750 }; // Reported counters of a peer count as current for this duration: three gossip periods.
     Milliseconds forgetAfter { 20000 }; // A peer without reports for this duration is removed, and its share goes to the other nodes.
@@ -27,6 +39,19 @@
     // Maximum debt, in seconds of the rate. The level falls below zero because an admitted request is charged in full even if it exceeds
     // the level, and because requests that peers admitted are charged only afterwards. Debt beyond the maximum is dropped.
     double maximumDebtSeconds { 8 };
+    TeamLimitTolerance tolerance {};
+    // Share of the tolerance that admissions use knowingly. The remainder covers the last request of each node, which may exceed what is
+    // left, and nodes that are cut off while they still have a part of the burst.
+    double usedTolerance { 0.8 };
+    // Time until peers know what this node admitted: three gossip periods, through two relay nodes.
+    Milliseconds propagationTime { 750 };
+    // Share of the pace that is divided evenly over the nodes. The remainder is divided by demand, which is unknown for a node that gets
+    // its first requests of a team.
+    double evenPaceShare { 0.5 };
+    // Factor on the chance that a node's first request is admitted although it exceeds the node's share. Not all nodes have requests at the
+    // same moment, so their unused shares cover some of it.
+    double firstRequestFactor { 3 };
+    std::uint32_t randomSeed { std::random_device {}() }; // Seed for the draws that admit requests which exceed this node's share.
 };
 
 class TeamLimits {
@@ -46,6 +71,8 @@
     // For fleets in which a peer reports less often than each gossip period.
     void setFreshFor(Milliseconds freshFor) { m_options.freshFor = freshFor; }
     void setStartupPhase(Milliseconds startupPhase) { m_options.startupPhase = startupPhase; }
+    void setPropagationTime(Milliseconds propagationTime) { m_options.propagationTime = propagationTime; }
+    void setTolerance(const TeamLimitTolerance& tolerance) { m_options.tolerance = tolerance; }
     // Sets the best known number of nodes, including this one.
     void setExpectedNodes(unsigned nodes) { m_options.expectedNodes = nodes; }
     unsigned expectedNodes() const { return m_options.expectedNodes; }
@@ -58,6 +85,7 @@
         std::optional<double> perSecond { 0 }; // No value if there was only one report yet.
         double charged { 0 }; // Amount of this incarnation that is already charged to the bucket.
         double unreported { 0 }; // Estimated amount from periods without reports that no reported total includes.
+        AverageRate average {};
 
         void updateRate(double newTotal, double elapsedSeconds);
     };
@@ -73,7 +101,10 @@
         double level { 0 };
         double ratePerSecond { 0 };
         double burst { 0 };
+        double tolerance { 0 }; // Amount above the limit that admissions use knowingly.
         SteadyTime updatedAt {};
+        SpendingPace pace {};
+        SteadyTime paceReportAt {}; // When the report arrived with which the pace was last updated.
         bool isInitialized { false };
     };
 
@@ -85,6 +116,20 @@
     // Share of the rate that is not set aside for silent nodes.
     double reportingShare() const { return m_silentNodes > 0 ? reportingNodes() / (reportingNodes() + m_silentNodes) : 1; }
     double initialLevel(const TrafficTeam&, SteadyTime now) const;
+    bool hasTolerance() const { return m_options.tolerance.overshoot > 0 || m_options.tolerance.slackTokens > 0; }
+    // Amount above the limit that admissions use knowingly.
+    double usableTolerance(const TrafficTeam&) const;
+    // Whether another request may be admitted before the peers know what this node admitted last.
+    bool isWithinPace(const TrafficTeam&, const Bucket&, double amount, SteadyTime now);
+    double evenShare() const; // This node's share if all nodes have the same.
+    void chargeNewlySilent(double silentNodes, double allNodes);
+    SteadyTime latestReportAt() const; // SteadyTime {} if no peer has reported.
+    // This node's share of what all nodes may admit: partly even, partly by demand.
+    double paceShare(const std::string& team, const Bucket&) const;
+    // Updates the bucket's pace with the age of the latest report of any peer.
+    void updatePace(Bucket&, SteadyTime now) const;
+    // Whether the level admits a request that requires the level to exceed `required`.
+    bool isLevelSufficient(const Bucket&, double required, SteadyTime now);
     bool allPeersReport(SteadyTime now) const;
     // Level that the bucket must exceed to admit a request of this amount.
     double requiredLevel(const TrafficTeam&, double amount, SteadyTime now) const;
@@ -97,6 +142,7 @@
     std::map<std::string, Peer> m_peers {};
     bool m_usesFleetTotals { false };
     double m_silentNodes { 0 };
+    std::minstd_rand m_random;
 };
 
 } // namespace Onyxnotch
--- /dev/null
+++ b/tests/modules/limits/test_limits_in_surges.cpp
@@ -0,0 +1,174 @@
+#include "tests/modules/peers/fleet_simulation.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Onyxnotch;
+using namespace Onyxnotch::Tests;
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr double usualShare = 1 / 1.8; // The team's usual demand, as a share of its limit.
+const TeamLimitTolerance tolerance { .overshoot = 0.1, .slackTokens = 140000, .window = seconds(8) };
+
+// A team with a limit in tokens a second over all nodes, and a burst of two seconds.
+TrafficTeam team(double ratePerSecond)
+{
+    TrafficTeam result;
+    result.name = "t";
+    result.countsTokens = true;
+    result.ratePerSecond = ratePerSecond;
+    result.burst = 2 * ratePerSecond;
+    return result;
+}
+
+// Tokens that may be admitted in any window: the limit with everything that the platform tolerates above it.
+double maximumAllowed(const TrafficTeam& team)
+{
+    return (8 * team.ratePerSecond + team.burst) * (1 + tolerance.overshoot) + tolerance.slackTokens;
+}
+
+struct FleetSize {
+    unsigned nodes { 60 };
+    double ratePerSecond { 2e6 };
+};
+
+const std::vector<FleetSize> fleetSizes { { .nodes = 9 }, { .nodes = 60 }, { .nodes = 85 }, { .nodes = 300, .ratePerSecond = 1e7 } };
+
+FleetSimulationOptions fleetOptions(const FleetSize& size, std::uint64_t seed)
+{
+    constexpr double tokensPerRequest = 8000;
+    FleetSimulationOptions options { .nodes = size.nodes, .zones = 4, .seed = seed, .lossFraction = 0.03, .tokensPerRequest = tokensPerRequest, .team = team(size.ratePerSecond), .tokensSpread = 1 };
+    options.requestsPerSecond = size.ratePerSecond * usualShare / tokensPerRequest / size.nodes;
+    options.limits.tolerance = tolerance;
+    return options;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LimitsInSurges)
+
+// A team with eight times its limit exceeded it by a fifth, because all nodes admitted from the same level before they knew of each other.
+BOOST_AUTO_TEST_CASE(limit_holds_when_a_teams_demand_rises_suddenly)
+{
+    for (const auto& size : fleetSizes) {
+        for (double factor : { 5.0, 8.0 }) {
+            auto options = fleetOptions(size, 1);
+            FleetSimulation fleet(options);
+            fleet.run(seconds(5));
+            fleet.demandFactor = factor / usualShare;
+            fleet.run(seconds(7));
+            fleet.demandFactor = 1;
+            fleet.run(seconds(3));
+            BOOST_TEST_CONTEXT(size.nodes << " nodes, demand of " << factor << " times the limit")
+            {
+                BOOST_TEST(fleet.maximumAdmittedIn(tolerance.window) < maximumAllowed(options.team));
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(at_most_one_in_a_hundred_requests_is_refused_below_the_limit)
+{
+    for (const auto& size : fleetSizes) {
+        auto options = fleetOptions(size, 3);
+        FleetSimulation fleet(options);
+        fleet.demandFactor = 0.8 / usualShare;
+        fleet.run(seconds(3));
+        auto requestedBefore = fleet.requested;
+        auto refusedBefore = fleet.refused;
+        fleet.run(seconds(10));
+        BOOST_TEST_CONTEXT(size.nodes << " nodes")
+        {
+            BOOST_TEST(fleet.refused - refusedBefore <= (fleet.requested - requestedBefore) / 100);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_node_admits_only_its_share_until_the_others_know)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    auto at = [&](int milliseconds) { return start + Milliseconds(milliseconds); };
+    TeamLimits limits(start - seconds(10), { .expectedNodes = 2, .tolerance = tolerance });
+    auto limited = team(1e6);
+    // Both nodes have the same demand.
+    for (int n = -8000; n <= 0; n += 250) {
+        limits.onPeerTotals("other", 1, Milliseconds(10000 + n), { { "t", (8000 + n) * 1e2 } }, at(n));
+        limits.admit(limited, 25000, at(n));
+    }
+    double admitted = 0;
+    for (int n = 1; n < 100; ++n) {
+        if (!limits.admit(limited, 1e5, at(n)))
+            admitted += 1e5;
+    }
+    // Half of the burst and of what the platform tolerates, and one more request.
+    BOOST_TEST(admitted <= (2e6 + 1.14e6) / 2 + 1e5);
+    BOOST_TEST(admitted >= 1e6);
+    auto wait = limits.admit(limited, 1e5, at(100));
+    BOOST_REQUIRE(wait.has_value());
+    limits.onPeerTotals("other", 1, seconds(11), { { "t", 8e5 } }, at(1000));
+    BOOST_TEST(!limits.admit(limited, 1e5, at(1001)).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// A suite and CTest test of its own, so that KNOWN-RED.txt can list it.
+BOOST_AUTO_TEST_SUITE(LimitsInSurgesAndFailures)
+
+BOOST_AUTO_TEST_CASE(limit_holds_when_demand_rises_while_a_third_of_the_nodes_is_cut_off)
+{
+    for (const auto& size : fleetSizes) {
+        auto options = fleetOptions(size, 2);
+        FleetSimulation fleet(options);
+        fleet.run(seconds(5));
+        for (unsigned n = 0; n < size.nodes; n += 3)
+            fleet.nodes()[n].isCutOff = true;
+        fleet.demandFactor = 5 / usualShare;
+        fleet.run(seconds(9));
+        BOOST_TEST_CONTEXT(size.nodes << " nodes")
+        {
+            BOOST_TEST(fleet.maximumAdmittedIn(tolerance.window) < maximumAllowed(options.team));
+        }
+    }
+}
+
+// After all nodes had lost power, each refused requests of teams far below their limits until it had received the state of the others.
+BOOST_AUTO_TEST_CASE(teams_below_their_limit_are_served_after_a_restart_of_all_nodes)
+{
+    for (const auto& size : fleetSizes) {
+        auto options = fleetOptions(size, 4);
+        FleetSimulation fleet(options);
+        fleet.run(seconds(5));
+        for (unsigned n = 0; n < size.nodes; ++n)
+            fleet.kill(n);
+        fleet.run(Milliseconds(1300));
+        for (unsigned n = 0; n < size.nodes; ++n)
+            fleet.restart(n);
+        auto requestedBefore = fleet.requested;
+        auto refusedBefore = fleet.refused;
+        fleet.run(Milliseconds(2500));
+        BOOST_TEST_CONTEXT(size.nodes << " nodes")
+        {
+            BOOST_TEST(fleet.refused - refusedBefore <= (fleet.requested - requestedBefore) / 100);
+            BOOST_TEST(fleet.maximumAdmittedIn(tolerance.window) < maximumAllowed(options.team));
+        }
+    }
+}
+
+// Each restarted node starts with its share of what the platform tolerates, and without knowledge of what it admitted before.
+BOOST_AUTO_TEST_CASE(limit_holds_while_nodes_restart_in_turn)
+{
+    auto options = fleetOptions({ .nodes = 60 }, 5);
+    FleetSimulation fleet(options);
+    fleet.run(seconds(5));
+    fleet.demandFactor = 5 / usualShare;
+    for (unsigned n = 0; n < 60; ++n) {
+        fleet.kill(n);
+        fleet.run(Milliseconds(150));
+        fleet.restart(n);
+    }
+    BOOST_TEST(fleet.maximumAdmittedIn(tolerance.window) < maximumAllowed(options.team));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/modules/peers/fleet_simulation.h
+++ b/tests/modules/peers/fleet_simulation.h
@@ -24,6 +24,9 @@
     unsigned endpointsUsed { 1 }; // Endpoints with load from one node,
     unsigned endpoints { 20 }; // out of this number in total.
     bool countsBytes { false }; // Count sent bytes, for which every message has to be encoded.
+    TeamLimitsOptions limits {};
+    // Standard deviation of the logarithm of a request's tokens; 0 if all requests have `tokensPerRequest`, which is their mean.
+    double tokensSpread { 0 };
     unsigned endpointsLeaving { 0 }; // Number of endpoints that three nodes of the first zone report as leaving.
 };
 
@@ -150,7 +153,9 @@
         node.others.reset();
         node.table = std::make_unique<PeerTable>(node.name);
         node.relay = std::make_unique<FleetRelay>(*node.table, FleetRelayOptions { .node = node.name, .zone = node.zone, .randomSeed = static_cast<std::uint32_t>(m_random()) }, m_now);
-        node.limits = std::make_unique<TeamLimits>(m_now);
+        auto limits = m_options.limits;
+        limits.randomSeed = static_cast<std::uint32_t>(m_options.seed * m_options.nodes + n + 1);
+        node.limits = std::make_unique<TeamLimits>(m_now, limits);
         node.suspects = std::make_unique<SuspectTracker>(SuspectOptions { .node = node.name });
         node.limits->setFreshFor(m_options.period * 4);
         node.limits->setStartupPhase(m_options.period * 10);
@@ -197,13 +202,22 @@
     {
         ++requested;
         auto& node = m_nodes[n];
-        if (node.limits->admit(m_options.team, m_options.tokensPerRequest, m_now))
+        auto tokens = nextTokens();
+        if (node.limits->admit(m_options.team, tokens, m_now))
             ++refused;
         else
-            m_admissions.push_back({ .at = m_now, .tokens = m_options.tokensPerRequest });
+            m_admissions.push_back({ .at = m_now, .tokens = tokens });
         push(n, nextArrival(), Arrival {}, node.lifetime);
     }
 
+    double nextTokens()
+    {
+        auto spread = m_options.tokensSpread;
+        if (spread <= 0)
+            return m_options.tokensPerRequest;
+        return std::lognormal_distribution<double>(std::log(m_options.tokensPerRequest) - spread * spread / 2, spread)(m_random);
+    }
+
     std::vector<EndpointLoadReport> loadsOf(unsigned n) const
     {
         std::vector<EndpointLoadReport> loads;
