Measure the speed and failures of endpoints, and choose by them

Cause: all endpoints of a service count as equally fast, so slow ones get a full share of the requests, and each node finds failing endpoints by itself.

Change: EndpointSpeeds keeps, for each incarnation, decayed mean logarithms of measured to expected times, which add up over nodes, a fast value for slowdowns of a second, and failures, by which outliers are ejected. The choice scales expected times by the ratio, gives homes in proportion to speed, and avoids endpoints whose pauses exceed the route's objective. ShortName moves from peers/group_aggregate.h to balance/short_name.h. FirstEventModel gets an option for the smallest deviation, and also models the time between events.

--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -37,6 +37,7 @@
             state = std::make_shared<EndpointState>();
         if (state->listed != listed)
             state->listed = listed;
+        state->shortName = shortNameOf(listed.life());
         if (listed.leaving)
             mark(listed.life(), m_readsStore, now);
     }
@@ -48,8 +49,11 @@
     std::erase_if(m_endpoints, [&](const auto& it) { return !isListed(it.first); });
     removeExpiredMarks(now);
     m_endpointsByService.clear();
-    for (const auto& [life, state] : m_endpoints)
+    m_shortNames.clear();
+    for (const auto& [life, state] : m_endpoints) {
         m_endpointsByService[state->listed.service].push_back(state);
+        m_shortNames[state->listed.service].push_back(state->shortName);
+    }
     return disappeared;
 }
 
@@ -210,7 +214,7 @@
     std::vector<std::shared_ptr<EndpointState>> excludedForFailures;
     for (const auto& it : found->second) {
         if (isCandidate(*it, request, now))
-            (it->health.isUsable(now) ? usable : excludedForFailures).push_back(it);
+            (it->health.isUsable(now) && m_speeds.isUsable(it->shortName, now) ? usable : excludedForFailures).push_back(it);
     }
     // If every endpoint is excluded for failures, the cause is probably not the endpoints, so they are used anyway.
     if (usable.empty())
@@ -219,7 +223,11 @@
     auto chains = chainHashes(request.parts);
     // The last part belongs to the request itself or to its session; the parts before it may be shared with other requests.
     auto key = chains.size() > 1 ? chains[chains.size() - 2] : (chains.empty() ? 0 : chains.back());
-    ChoiceRequest wanted { .promptTokens = request.promptTokens, .slotSeconds = slotSeconds(request.service), .earlyEnoughSeconds = request.objectiveSeconds * earlyEnoughFraction };
+    ChoiceRequest wanted { .promptTokens = request.promptTokens,
+        .slotSeconds = slotSeconds(request.service),
+        .earlyEnoughSeconds = request.objectiveSeconds * earlyEnoughFraction,
+        .objectiveSeconds = request.objectiveSeconds,
+        .pauseObjectiveSeconds = request.pauseObjectiveSeconds };
     for (std::size_t n = 0; n + 1 < request.parts.size(); ++n)
         wanted.sharedTokens += request.parts[n].tokens;
     std::vector<ChoiceCandidate> candidates;
@@ -232,6 +240,9 @@
             .cachedTokens = it->prefixes.cachedTokens(request.parts),
             .rank = mixHash(hashText(it->listed.id), key),
             .sameZone = it->listed.zone == m_zone,
+            .lastingSlowness = m_speeds.lastingFirstEventRatio(it->shortName),
+            .slowness = m_speeds.firstEventRatio(it->shortName, now),
+            .expectedPauseSeconds = request.pauseObjectiveSeconds > 0 ? expectedPauseSeconds(*it, now) : 0,
         });
     }
     auto choice = chooseEndpoint(candidates, wanted, m_options);
@@ -242,7 +253,9 @@
         .unqueuedSeconds = choice->unqueuedSeconds,
         .leastWaitSeconds = choice->leastWaitSeconds,
         .uncachedTokens = choice->uncachedTokens,
+        .isCacheKnown = candidates[choice->candidate].cachedTokens >= wanted.sharedTokens,
         .waitingTokens = candidates[choice->candidate].waitingTokens,
+        .slowness = candidates[choice->candidate].slowness,
         .isSlotFree = candidates[choice->candidate].inFlight < candidates[choice->candidate].slots,
         .reason = choice->reason };
 }
@@ -256,6 +269,7 @@
 {
     if (m_firstSentAt == SteadyTime {} && request.promptTokens > 0)
         m_firstSentAt = now;
+    m_speeds.onSent(endpoint.shortName, now);
     if (!request.parts.empty())
         endpoint.prefixes.touch(request.parts, memoryTokens(request.service));
 }
@@ -307,6 +321,44 @@
     m_options.secondsPerToken = m_firstEvents.secondsPerToken();
 }
 
+void EndpointBook::observeFirstEvent(const ChosenEndpoint& chosen, double seconds, SteadyTime now)
+{
+    auto name = chosen.endpoint->shortName;
+    auto ratio = m_speeds.firstEventRatio(name, now);
+    if (chosen.isCacheKnown) {
+        if (m_knownFirstEvents.isTrusted())
+            m_speeds.observeFirstEvent(name, seconds, m_knownFirstEvents.seconds(chosen.uncachedTokens), now);
+        m_knownFirstEvents.observe(chosen.uncachedTokens, seconds / ratio);
+    }
+    observeFirstEvent(chosen.uncachedTokens, seconds / ratio);
+}
+
+void EndpointBook::observePause(const EndpointState& endpoint, double seconds, SteadyTime now)
+{
+    if (!m_speeds.isEnabled())
+        return;
+    auto& model = m_pauses.try_emplace(endpoint.listed.service, pauseModelOptions()).first->second;
+    auto streams = endpoint.inFlight + endpoint.peersInFlight;
+    auto ratio = m_speeds.pauseRatio(endpoint.shortName, now);
+    if (model.isTrusted())
+        m_speeds.observePause(endpoint.shortName, seconds, model.seconds(streams), now);
+    model.observe(streams, seconds / ratio);
+}
+
+double EndpointBook::expectedPauseSeconds(const EndpointState& endpoint, SteadyTime now) const
+{
+    auto it = m_pauses.find(endpoint.listed.service);
+    if (it == m_pauses.end() || !it->second.isTrusted())
+        return 0;
+    return it->second.seconds(endpoint.inFlight + endpoint.peersInFlight + 1) * m_speeds.pauseRatio(endpoint.shortName, now);
+}
+
+const EndpointState* EndpointBook::findByShortName(ShortName name) const
+{
+    auto it = std::find_if(m_endpoints.begin(), m_endpoints.end(), [name](const auto& known) { return known.second->shortName == name; });
+    return it == m_endpoints.end() ? nullptr : it->second.get();
+}
+
 EndpointBook::Flight::Flight(std::shared_ptr<EndpointState> endpoint, double waitingTokens)
     : m_endpoint(std::move(endpoint))
     , m_waitingTokens(waitingTokens)
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -6,6 +6,7 @@
 #include "modules/balance/endpoint_backoffs.h"
 #include "modules/balance/endpoint_choice.h"
 #include "modules/balance/endpoint_health.h"
+#include "modules/balance/endpoint_speeds.h"
 #include "modules/balance/first_event_model.h"
 #include "modules/balance/prefix_cache.h"
 #include "modules/balance/slot_time_model.h"
@@ -36,6 +37,7 @@
     };
 
     ListedEndpoint listed {};
+    ShortName shortName { 0 }; // Of `listed.life()`.
     std::deque<IdleConnection> idle {}; // Most recently used last.
     unsigned connections { 0 }; // Open connections, including idle ones.
     unsigned inFlight { 0 };
@@ -54,6 +56,7 @@
     std::vector<PromptPart> parts {};
     double promptTokens { 0 };
     double objectiveSeconds { 0 }; // Time left until the request's first-event objective.
+    double pauseObjectiveSeconds { 0 }; // The route's target time between two events; 0 for no target.
     std::vector<std::string> excluded {}; // Ids of endpoints that the request was already sent to, or for which it got no credit.
     bool skipsEndpointsWithoutCredit { false }; // Leave out endpoints that have no credit at present.
     VersionLimits versions {};
@@ -65,7 +68,9 @@
     double unqueuedSeconds { 0 }; // Part of `expectedSeconds` that remains if no other request is at the endpoint.
     double leastWaitSeconds { 0 }; // Shortest expected wait behind other requests at any candidate endpoint.
     double uncachedTokens { 0 };
+    bool isCacheKnown { false }; // This node itself has sent the shared parts there, so `uncachedTokens` is not an assumption.
     double waitingTokens { 0 }; // Unread prompt tokens that are expected at the endpoint ahead of this request.
+    double slowness { 1 }; // The endpoint's ratio of measured to expected time to first event, which `expectedSeconds` includes.
     bool isSlotFree { false }; // A slot is expected to be free.
     std::string_view reason {};
 };
@@ -147,6 +152,16 @@
     void setPeerLoadAge(Milliseconds age) { m_options.staleSeconds = std::chrono::duration<double>(age).count(); }
     // Records the time to first event of a request that found no other prompt waiting at its endpoint.
     void observeFirstEvent(double uncachedTokens, double seconds);
+    // As above, and learns the endpoint's speed from it. The model for all endpoints gets the time without the endpoint's ratio.
+    void observeFirstEvent(const ChosenEndpoint&, double seconds, SteadyTime now);
+    // Records a mean time between events of a stream during which no prompt was waiting at its endpoint.
+    void observePause(const EndpointState&, double seconds, SteadyTime now);
+    EndpointSpeeds& speeds() { return m_speeds; }
+    const EndpointSpeeds& speeds() const { return m_speeds; }
+    // Evaluates the measurements of `nodes` nodes.
+    void setSpeedTotal(const EndpointSpeedReport& total, unsigned nodes, SteadyTime now) { m_speeds.setTotal(total, nodes, m_shortNames, now); }
+    // The listed incarnation with this short name; nullptr if there is none.
+    const EndpointState* findByShortName(ShortName) const;
     // Records how long a request that found a free slot occupied it.
     void observeSlot(const std::string& service, double seconds) { m_slotTimes[service].observe(seconds); }
     // Whether estimated prompt times may be used to refuse requests: true once enough times were observed, or 2 seconds after the first
@@ -167,6 +182,8 @@
     void removeExpiredMarks(SteadyTime now);
     double memoryTokens(const std::string& service) const;
     double slotSeconds(const std::string& service) const;
+    // Expected time between events of a stream that is sent to the endpoint now; 0 as long as it is not known.
+    double expectedPauseSeconds(const EndpointState&, SteadyTime now) const;
     // Whether the endpoint is not leaving and runs a version that the request may go to.
     bool isEligible(const EndpointState&, const EndpointRequest&) const;
     bool isCandidate(const EndpointState&, const EndpointRequest&, SteadyTime now) const;
@@ -189,7 +206,13 @@
     bool m_readsStore { true };
     SteadyTime m_firstSentAt {}; // When the first prompt was sent to any endpoint.
     FirstEventModel m_firstEvents {};
+    // Fitted only to requests whose cached tokens are known. Where shared parts were assumed to be cached and were not, `m_firstEvents` expects
+    // longer times, and every endpoint with known cached tokens would count as fast.
+    FirstEventModel m_knownFirstEvents {};
     std::map<std::string, SlotTimeModel> m_slotTimes {}; // By service.
+    std::map<std::string, FirstEventModel> m_pauses {}; // Times between events by number of running streams, by service.
+    EndpointSpeeds m_speeds {};
+    EndpointSpeeds::ServiceMembers m_shortNames {};
     ChoiceOptions m_options {};
 };
 
--- a/modules/balance/endpoint_choice.h
+++ b/modules/balance/endpoint_choice.h
@@ -17,6 +17,9 @@
     double cachedTokens { 0 }; // Tokens of this prompt that are expected in the endpoint's prefix cache.
     std::uint64_t rank { 0 }; // Hash of the endpoint and the prompt's prefix, so that all nodes rank the endpoints alike.
     bool sameZone { false };
+    double lastingSlowness { 1 }; // As `slowness`, without short slowdowns: alike at all nodes.
+    double slowness { 1 }; // Factor on the expected times of prompts and waits, relative to the service (EndpointSpeeds).
+    double expectedPauseSeconds { 0 }; // Expected time between two events of a stream; 0 if unknown.
 
     bool operator==(const ChoiceCandidate&) const = default;
 };
@@ -26,6 +29,8 @@
     double sharedTokens { 0 }; // Tokens of the prompt in parts that other requests may share.
     double slotSeconds { 0 }; // Average time that a request of the service occupies a slot, as measured by SlotTimeModel.
     double earlyEnoughSeconds { 0 }; // Candidates expected to start within this time are compared by uncached tokens, not by time.
+    double objectiveSeconds { 0 }; // Candidates expected to start within this time are on time.
+    double pauseObjectiveSeconds { 0 }; // Target time between two events of a stream; 0 for no target.
 
     bool operator==(const ChoiceRequest&) const = default;
 };
@@ -56,7 +61,8 @@
 
 // Returns the candidate with the fewest uncached tokens among those expected to start within `earlyEnoughSeconds`; if there is none, the
 // one with the shortest expected time. The candidate with the highest rank is assumed to have the shared parts cached even if this node has
-// not sent them there, because other nodes do. Empty if there are no candidates.
+// not sent them there, because other nodes do. Slow candidates are ranked lower, so that they are home to fewer prompts. A candidate whose expected pause exceeds the pause objective has the lowest rank, and is left
+// out if another candidate is expected to be on time. Empty if there are no candidates.
 std::optional<EndpointChoice> chooseEndpoint(const std::vector<ChoiceCandidate>&, const ChoiceRequest&, const ChoiceOptions&);
 
 } // namespace Onyxnotch
--- a/modules/balance/first_event_model.cpp
+++ b/modules/balance/first_event_model.cpp
@@ -36,12 +36,10 @@
 
 void FirstEventModel::fit()
 {
-    // Prompts of nearly equal length give no slope, so the last fitted `m_secondsPerToken` stays.
-    constexpr double minimumDeviationTokens = 100;
     auto meanTokens = m_tokens / m_weight;
     auto meanSeconds = m_seconds / m_weight;
     auto variance = m_tokensSquared / m_weight - meanTokens * meanTokens;
-    if (variance > minimumDeviationTokens * minimumDeviationTokens)
+    if (variance > m_options.minimumDeviationTokens * m_options.minimumDeviationTokens)
         m_secondsPerToken = std::max(0.0, (m_tokensSeconds / m_weight - meanTokens * meanSeconds) / variance);
     m_fixedSeconds = std::max(0.0, meanSeconds - m_secondsPerToken * meanTokens);
 }
--- a/modules/balance/first_event_model.h
+++ b/modules/balance/first_event_model.h
@@ -1,5 +1,5 @@
 // Estimates the time to first event at an endpoint where no other prompt is waiting: a fixed time plus a time per uncached prompt token.
-// Both are fitted by least squares over recent requests, with older ones weighted down.
+// With pauseModelOptions(), estimates the time between events of a stream: a fixed time plus a time per running stream. Both parts are fitted by least squares over recent requests, with older ones weighted down.
 #pragma once
 
 namespace Onyxnotch {
@@ -14,9 +14,18 @@
     double initialWeight { 4 }; // Weight of the assumed values, in observations.
     double decayPerObservation { 0.98 }; // Factor on the weight of all earlier observations at each new one: about fifty are effective.
     unsigned trustedAfter { 20 }; // Observations; from then on the assumed values contribute at most a sixth of the weight.
+    // Observations whose numbers of tokens deviate less than this give no slope, so the last fitted time per token stays.
+    double minimumDeviationTokens { 100 };
     double outlierFactor { 2 }; // Cap of observed times, as a multiple of the estimate; longer ones are not due to the prompt.
 };
 
+// For the time between events of a stream, with the number of running streams in place of the number of tokens. Observations are many, and
+// those of one stream follow each other, so more of them are effective.
+inline FirstEventModelOptions pauseModelOptions()
+{
+    return { .initialSecondsPerToken = 0.0005, .initialTokensDifference = 10, .decayPerObservation = 0.995, .minimumDeviationTokens = 1 };
+}
+
 class FirstEventModel {
 public:
     explicit FirstEventModel(const FirstEventModelOptions& options = {});
--- a/modules/peers/group_aggregate.h
+++ b/modules/peers/group_aggregate.h
@@ -1,17 +1,12 @@
 // Aggregated state of the nodes of an availability zone or of the fleet. Computed and sent by relay nodes (FleetRelay); encoded by cereal.
 #pragma once
 
+#include "modules/balance/short_name.h"
 #include "modules/peers/growing_totals.h"
 #include "modules/peers/peer_row.h"
 
 namespace Onyxnotch {
 
-// 32-bit hash that stands for a node or an endpoint in aggregates. If two collide they are treated as one; the only effect is that their
-// loads are added up.
-using ShortName = std::uint32_t;
-inline ShortName shortNameOf(const std::string& name) { return static_cast<ShortName>(mixHash(std::hash<std::string> {}(name), 0)); }
-inline ShortName shortNameOf(const EndpointIncarnation& life) { return static_cast<ShortName>(mixHash(hashOf(life), 0)); }
-
 // Load of one endpoint over several nodes; with its ShortName it takes eight bytes, since an aggregate has hundreds of them.
 struct AggregatedLoad {
     std::uint16_t inFlight { 0 };
