Share measured endpoint speeds between nodes, and record them per request

Cause: one node of 85 has a request at one endpoint every ten seconds, too few to measure its speed or failures.

Change: each node sends its sums every second gossip period (message 23), and evaluates the sums over all nodes each period. Exchange records times to first event, pauses and failures. Log event endpoint_speed, fields speed_percent and longest_pause_ms, three metrics, setting endpointSpeeds, a fuzz case.

The fuzz target compiles; it was not run.

--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -64,6 +64,13 @@
                 "blockedSeconds": { "type": "number", "minimum": 1, "default": 600, "description": "For how long it is blocked at least, before one node after the other may try it again. Doubled each time that a trial ends an endpoint." }
             }
         },
+        "endpointSpeeds": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "How fast endpoints of a service are, and how often they fail, as all nodes measure it.",
+            "properties": {
+                "enabled": { "type": "boolean", "default": true, "description": "Whether endpoints are chosen by it. Off, all endpoints of a service count as equally fast, and each node finds failing ones by itself." }
+            }
+        },
         "relays": { "type": "boolean", "default": true, "description": "Whether the nodes of a large fleet hear of each other by relays of their zones. Off, each tells as many others as it can." },
         "everyNodeUpTo": { "type": "integer", "minimum": 1, "default": 16, "description": "Up to so many nodes each one tells every other, and follows the store itself. A larger fleet uses relays." },
         "graceSeconds": { "type": "number", "minimum": 0.5, "default": 8, "description": "Time from the stop signal to the kill." },
@@ -133,6 +140,7 @@
         rollouts.enabled = rollouts.plan.canaryShare > 0;
         entry.forward.rollouts = rollouts.enabled;
         entry.forward.suspects = { .node = entry.node, .livesUntilBlocked = document["suspects"]["livesUntilBlocked"], .blockedFor = millisecondsFromSeconds(document["suspects"]["blockedSeconds"]) };
+        entry.forward.endpointSpeeds = document["endpointSpeeds"]["enabled"];
         entry.relays = document["relays"];
         entry.watching.everyNodeUpTo = document["everyNodeUpTo"];
         entry.grace = millisecondsFromSeconds(document["graceSeconds"]);
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <cmath>
 
 namespace Onyxnotch {
 
@@ -24,10 +25,12 @@
               .limits = [this](const LimitUpdate& update) { limits.onLimitUpdate(update); },
               .creditAsk = [this](const CreditRequest& creditRequest, const Address& from) { limits.onCreditRequest(creditRequest, from); },
               .creditAnswer = [this](const CreditAnswer& answer, const Address& from) { limits.onCreditAnswer(answer, from); },
-              .creditReturn = [this](const CreditReturn& returned) { limits.onCreditReturn(returned); } })
+              .creditReturn = [this](const CreditReturn& returned) { limits.onCreditReturn(returned); },
+              .speeds = [this](const SumUpdate<EndpointSpeedReport>& update) { endpointSpeeds.onUpdate(update, steadyNow()); } })
     , readiness(context, entryOptions.readiness, [this](const HttpHead&) { return answerReadiness(); })
     , lifetime(wallMilliseconds())
     , limits(context, forward, exchange, relay, { .node = entryOptions.node, .lifetime = lifetime })
+    , endpointSpeeds({ .node = entryOptions.node, .lifetime = lifetime, .zone = entryOptions.zone })
     , ownClockDifference(static_cast<std::int64_t>(lifetime) - steadyMilliseconds())
 {
     forward.clockDifference = ownClockDifference;
@@ -94,10 +97,39 @@
         exchangeThroughRelays(now);
     else
         exchangeDirectly(now);
+    exchangeEndpointSpeeds(now);
     if (ticks % usagePeriodTicks == usagePhase)
         sendUsage();
 }
 
+void EntryNode::RequestSide::exchangeEndpointSpeeds(SteadyTime now)
+{
+    if (!forward.endpoints.speeds().isEnabled())
+        return;
+    endpointSpeeds.setOwn(forward.endpoints.speeds().ownReport(now));
+    if (ticks % speedPeriodTicks == usagePhase % speedPeriodTicks)
+        sendSumUpdates(exchange, relay, usesRelays(), MessageType::EndpointSpeeds, endpointSpeeds, now);
+    auto total = endpointSpeeds.total(now);
+    forward.endpoints.setSpeedTotal(total.sum, total.nodes, now);
+    forward.metrics.set("onyxnotch_entry_ejected_endpoints", static_cast<double>(forward.endpoints.speeds().ejected()));
+    forward.metrics.set("onyxnotch_entry_speed_nodes", total.nodes);
+    logEndpointSpeedChanges(now);
+}
+
+void EntryNode::RequestSide::logEndpointSpeedChanges(SteadyTime now)
+{
+    auto percent = [](double ratio) { return std::lround(ratio * 100); };
+    for (const auto& it : forward.endpoints.speeds().takeChanges()) {
+        auto change = nameOf(it.kind);
+        forward.metrics.increment("onyxnotch_entry_endpoint_speed_changes_total", { { "change", std::string(change) } });
+        const auto* endpoint = forward.endpoints.findByShortName(it.endpoint);
+        if (!endpoint || !endpointSpeedLines.take(now))
+            continue;
+        logEvent(LogLevel::Info, "endpoint_speed",
+            { { "endpoint", endpoint->listed.id }, { "born", endpoint->listed.born }, { "service", endpoint->listed.service }, { "change", change }, { "first_event_percent", percent(it.firstEventRatio) }, { "pause_percent", percent(it.pauseRatio) }, { "requests", it.requests }, { "failures", it.failures }, { "ms", it.duration.count() } });
+    }
+}
+
 void EntryNode::RequestSide::exchangeDirectly(SteadyTime now)
 {
     adaptDirectTimeouts();
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -8,6 +8,7 @@
 #include "modules/control/blocked_requests.h"
 #include "modules/entry/entry_limits.h"
 #include "modules/entry/entry_node.h"
+#include "modules/peers/sum_exchange.h"
 
 namespace Onyxnotch {
 
@@ -36,6 +37,9 @@
     // after its end, so that a lost datagram or a late node loses none. The usage report is due some seconds later.
     static constexpr Milliseconds relayedUsageSettleTime { 4000 };
 
+    // Endpoint speeds are sent once per this number of gossip periods: they change slowly.
+    static constexpr std::uint32_t speedPeriodTicks = 2;
+
     static std::int64_t steadyMilliseconds() { return std::chrono::duration_cast<Milliseconds>(steadyNow().time_since_epoch()).count(); }
 
     Status start();
@@ -81,6 +85,9 @@
     void adaptDirectTimeouts();
     static std::map<EndpointIncarnation, EndpointLoadReport> sumLoads(const std::vector<const PeerRow*>& rows);
     void sendUsage();
+    // Evaluates the measured speeds and failures of endpoints over all nodes, and sends this node's.
+    void exchangeEndpointSpeeds(SteadyTime now);
+    void logEndpointSpeedChanges(SteadyTime now);
     PeerRow ownRow();
     VersionUpdate ownVersionUpdate() const;
 
@@ -127,6 +134,8 @@
     AsyncHttpServer readiness;
     std::uint64_t lifetime;
     EntryLimits limits;
+    RelayedSum<EndpointSpeedReport> endpointSpeeds;
+    LogRateLimiter endpointSpeedLines { 20 };
     // Wall clock minus steady clock in milliseconds, read at the start only, so that later clock steps have no effect.
     std::int64_t ownClockDifference;
     SteadyTime startedAt { steadyNow() };
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -20,6 +20,7 @@
         return text + "\r\n";
     }
 
+    constexpr Milliseconds slowWrite { 3 }; // Passing on an event takes less; a client that takes longer delays the next one.
     constexpr std::string_view lastChunk = "0\r\n\r\n";
 
 } // namespace
@@ -149,7 +150,7 @@
 
 EndpointRequest Exchange::endpointRequest() const
 {
-    return { .service = m_service->name, .parts = m_promptParts, .promptTokens = m_promptTokens, .objectiveSeconds = objectiveSecondsLeft(), .excluded = m_triedEndpoints, .versions = versionLimits() };
+    return { .service = m_service->name, .parts = m_promptParts, .promptTokens = m_promptTokens, .objectiveSeconds = objectiveSecondsLeft(), .pauseObjectiveSeconds = std::chrono::duration<double>(m_route->pauseObjective).count(), .excluded = m_triedEndpoints, .versions = versionLimits() };
 }
 
 VersionLimits Exchange::versionLimits() const
@@ -380,7 +381,11 @@
     std::string pending;
     std::string ready;
     bool first = true;
+    bool isWriteSlow = false;
+    m_pauses.onAttempt();
     while (true) {
+        auto receivedAt = steadyNow();
+        auto earlierEvents = m_events.events();
         pending += call.body();
         call.body().clear();
         ready.clear();
@@ -393,6 +398,7 @@
             if (first)
                 recordFirstEvent(chosen);
             first = false;
+            recordPause(chosen, m_events.events() - earlierEvents, isWriteSlow, receivedAt);
             if (!m_streamStarted)
                 bytes = responseHead(call.head(), std::nullopt);
             m_streamStarted = true;
@@ -403,6 +409,7 @@
             bytes += lastChunk;
         if (!bytes.empty() && !co_await writeToClient(bytes))
             co_return AttemptOutcome::CallerLeft;
+        isWriteSlow = steadyNow() - receivedAt > slowWrite;
         if (last)
             break;
         auto status = co_await call.readBody();
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -6,6 +6,7 @@
 #include "modules/forward/endpoint_call.h"
 #include "modules/forward/endpoint_notice.h"
 #include "modules/forward/event_stream.h"
+#include "modules/forward/pause_meter.h"
 #include "modules/suspects/request_digest.h"
 
 namespace Onyxnotch {
@@ -66,6 +67,10 @@
     asio::awaitable<AttemptOutcome> relayBuffered(EndpointCall&, const ChosenEndpoint&);
     void recordChoice(const ChosenEndpoint&);
     void recordFirstEvent(const ChosenEndpoint&);
+    // Records `events` further events that were received at `receivedAt`. `isWriteSlow`: the client took long to receive the ones before.
+    void recordPause(const ChosenEndpoint&, std::uint64_t events, bool isWriteSlow, SteadyTime receivedAt);
+    // Counts how an attempt ended for the measured speed and failures of its endpoint over all nodes.
+    void recordSpeedOutcome(const EndpointState&, AttemptOutcome);
     void recordSlotTime(const ChosenEndpoint&);
     void updateHealth(EndpointState&, AttemptOutcome);
     void updateSuspects(const EndpointCall&, const ListedEndpoint&, AttemptOutcome);
@@ -140,8 +145,10 @@
     long m_unqueuedMilliseconds { -1 };
     long m_uncachedTokens { 0 };
     long m_waitingTokens { 0 };
+    long m_speedPercent { 100 };
     unsigned long m_endpointsRevision { 0 };
     EventStream m_events {};
+    PauseMeter m_pauses {};
     bool m_streamStarted { false };
     // The last complete 5xx response of an endpoint; passed on if no later attempt succeeds.
     std::optional<HttpHead> m_failureHead {};
--- a/modules/forward/exchange_notes.cpp
+++ b/modules/forward/exchange_notes.cpp
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "core/net/http_status.h"
 #include "modules/forward/endpoint_notice.h"
+#include <cmath>
 
 namespace Onyxnotch {
 
@@ -60,7 +61,48 @@
     m_flight->prefilled();
     // Prefill speed is measured only if no other prompt was waiting at the endpoint, neither when it was chosen nor at the first event.
     if (m_waitingTokens == 0 && m_context.endpoints.waitingTokens(*chosen.endpoint, steadyNow()) == 0)
-        m_context.endpoints.observeFirstEvent(chosen.uncachedTokens, seconds);
+        m_context.endpoints.observeFirstEvent(chosen, seconds, steadyNow());
+}
+
+void Exchange::recordPause(const ChosenEndpoint& chosen, std::uint64_t events, bool isWriteSlow, SteadyTime receivedAt)
+{
+    if (events == 0)
+        return;
+    // While an engine reads a prompt, its streams wait.
+    bool isExplained = isWriteSlow || m_context.endpoints.waitingTokens(*chosen.endpoint, receivedAt) > 0;
+    m_pauses.onEvents(events, isExplained, receivedAt);
+    if (auto mean = m_pauses.takeMean())
+        m_context.endpoints.observePause(*chosen.endpoint, *mean, receivedAt);
+}
+
+void Exchange::recordSpeedOutcome(const EndpointState& endpoint, AttemptOutcome attemptOutcome)
+{
+    auto& speeds = m_context.endpoints.speeds();
+    switch (attemptOutcome) {
+    case AttemptOutcome::Delivered:
+        speeds.onEnd(endpoint.shortName, false, steadyNow());
+        return;
+    case AttemptOutcome::NotSent:
+    case AttemptOutcome::MayHaveRun:
+    case AttemptOutcome::StreamBroken:
+    case AttemptOutcome::FailedAnswer:
+    case AttemptOutcome::OutOfTime:
+        speeds.onEnd(endpoint.shortName, true, steadyNow());
+        return;
+    case AttemptOutcome::NotRun:
+        // An endpoint that drains or has asked for a backoff does what it should.
+        if (HttpStatus::isRefusalStatus(m_responseStatus) && m_context.endpoints.mayStillSend(endpoint.listed.life(), steadyNow())) {
+            speeds.onEnd(endpoint.shortName, true, steadyNow());
+            return;
+        }
+        break;
+    case AttemptOutcome::NoConnectionLeft:
+    case AttemptOutcome::Unwanted:
+    case AttemptOutcome::Withheld:
+    case AttemptOutcome::CallerLeft:
+        break;
+    }
+    speeds.onEndWithoutEvidence(endpoint.shortName);
 }
 
 void Exchange::recordChoice(const ChosenEndpoint& chosen)
@@ -71,6 +113,7 @@
     m_unqueuedMilliseconds = static_cast<long>(chosen.unqueuedSeconds * 1000);
     m_uncachedTokens = static_cast<long>(chosen.uncachedTokens);
     m_waitingTokens = static_cast<long>(chosen.waitingTokens);
+    m_speedPercent = std::lround(chosen.slowness * 100);
 }
 
 // Updates the suspect records with the outcome of an attempt. A connection lost to an endpoint that is draining or no longer listed does
@@ -185,6 +228,7 @@
 {
     if (attemptOutcome != AttemptOutcome::Delivered)
         writeAttemptLog(endpoint, attemptOutcome);
+    recordSpeedOutcome(endpoint, attemptOutcome);
     switch (attemptOutcome) {
     case AttemptOutcome::Delivered:
         endpoint.health.onSuccess();
@@ -230,9 +274,9 @@
     logEvent(LogLevel::Info, "request",
         { { "request_id", m_requestId }, { "digest", digest().text() }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() },
             { "team", m_team ? std::string_view(m_team->name) : std::string_view() }, { "endpoint", m_lastEndpoint }, { "choice", m_choiceReason },
-            { "expected_ms", m_expectedMilliseconds }, { "unqueued_ms", m_unqueuedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "endpoints_revision", m_endpointsRevision },
+            { "expected_ms", m_expectedMilliseconds }, { "unqueued_ms", m_unqueuedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "speed_percent", m_speedPercent }, { "endpoints_revision", m_endpointsRevision },
             { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_requestedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_attemptTracker.attempts() }, { "status", status }, { "outcome", outcome }, { "objective_ms", m_route ? m_route->objective.count() : 0L },
-            { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "left_ms", m_route ? timeLeft().count() : 0L } });
+            { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "longest_pause_ms", m_pauses.longest().count() }, { "left_ms", m_route ? timeLeft().count() : 0L } });
 }
 
 } // namespace Onyxnotch
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -42,6 +42,7 @@
     Milliseconds longPrefillThreshold { 40 };
     unsigned usageWindowMilliseconds { 5000 };
     SuspectOptions suspects {};
+    bool endpointSpeeds { true }; // Whether endpoints are chosen by their measured speed and failures over all nodes (EndpointSpeeds).
     bool rollouts { false }; // Whether operators run rollouts, so that a new version may be a canary.
 };
 
@@ -104,6 +105,7 @@
         , suspects(options.suspects)
         , bodyMemory(options.maximumBufferedBodyBytes)
     {
+        endpoints.speeds().setEnabled(options.endpointSpeeds);
     }
 
     // Converts to the time of day agreed between the nodes, in milliseconds since 1970.
--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -86,6 +86,14 @@
     case MessageType::CreditAnswer:
     case MessageType::CreditReturn:
         return handleCreditMessage(frame);
+    case MessageType::EndpointSpeeds: {
+        BOOST_OUTCOME_TRY(update, unpackMessage<SumUpdate<EndpointSpeedReport>>(frame.type, frame));
+        if (!update.isSound())
+            return Error { ErrorCode::InvalidArgument, "endpoint speeds with values out of range" };
+        if (m_receivers.speeds)
+            m_receivers.speeds(update);
+        return success();
+    }
     case MessageType::ZoneAggregate:
     case MessageType::FleetAggregate:
         return handleAggregate(frame);
--- a/modules/peers/peer_exchange.h
+++ b/modules/peers/peer_exchange.h
@@ -9,6 +9,7 @@
 #include "modules/peers/fleet_relay.h"
 #include "modules/peers/limit_messages.h"
 #include "modules/peers/peer_table.h"
+#include "modules/peers/relayed_sum.h"
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -44,6 +45,7 @@
     std::function<void(const CreditRequest&, const Address& from)> creditAsk {};
     std::function<void(const CreditAnswer&, const Address& from)> creditAnswer {};
     std::function<void(const CreditReturn&)> creditReturn {};
+    std::function<void(const SumUpdate<EndpointSpeedReport>&)> speeds {};
 };
 
 class PeerExchange {
--- a/tests/fuzz/fuzz_documents.cpp
+++ b/tests/fuzz/fuzz_documents.cpp
@@ -3,9 +3,11 @@
 #include "core/deflate.h"
 #include "core/net/frame.h"
 #include "core/utf8.h"
+#include "modules/balance/endpoint_speeds.h"
 #include "modules/control/endpoint_history.h"
 #include "modules/peers/group_aggregate.h"
 #include "modules/peers/limit_messages.h"
+#include "modules/peers/relayed_sum.h"
 #include "modules/suspects/suspect_tracker.h"
 #include "platform/decoders.h"
 #include "platform/store_pages.h"
@@ -96,9 +98,31 @@
         0, [](const auto&) { return false; }, now);
 }
 
+// Sums that pass the check must keep ratios within their bounds, reports within their size, and a service from losing all endpoints.
+void checkSpeeds(const SumUpdate<EndpointSpeedReport>& update)
+{
+    if (!update.isSound())
+        return;
+    constexpr SteadyTime now { std::chrono::hours(1) };
+    constexpr EndpointSpeedOptions options;
+    EndpointSpeeds speeds(options);
+    EndpointSpeeds::ServiceMembers services;
+    for (const auto& [name, sums] : update.sum.endpoints)
+        services["s"].push_back(name);
+    auto sum = update.sum;
+    sum += update.sum;
+    require(sum.isSound());
+    speeds.setTotal(sum, update.nodes, services, now);
+    require(speeds.ejected() * options.ejectableDivisor <= services["s"].size());
+    for (const auto& [name, sums] : sum.endpoints) {
+        for (auto ratio : { speeds.firstEventRatio(name, now), speeds.pauseRatio(name, now) })
+            require(ratio >= options.smallestRatio && ratio <= options.largestRatio);
+    }
+}
+
 void checkMessages(const std::string& bytes)
 {
-    for (auto type : { MessageType::PeerRow, MessageType::ZoneAggregate, MessageType::PrefillNotice, MessageType::UsageNotice, MessageType::SuspectNotice, MessageType::LimitUpdate, MessageType::CreditRequest, MessageType::CreditAnswer, MessageType::CreditReturn }) {
+    for (auto type : { MessageType::PeerRow, MessageType::ZoneAggregate, MessageType::PrefillNotice, MessageType::UsageNotice, MessageType::SuspectNotice, MessageType::LimitUpdate, MessageType::CreditRequest, MessageType::CreditAnswer, MessageType::CreditReturn, MessageType::EndpointSpeeds }) {
         Frame frame { .type = type, .payload = bytes };
         if (auto sum = unpackMessage<GroupAggregate>(type, frame))
             (void)sum.value().isSound();
@@ -107,6 +131,8 @@
         (void)unpackMessage<UsageNotice>(type, frame);
         if (auto news = unpackMessage<LimitUpdate>(type, frame))
             checkLimits(news.value());
+        if (auto update = unpackMessage<SumUpdate<EndpointSpeedReport>>(type, frame))
+            checkSpeeds(update.value());
         if (auto ask = unpackMessage<CreditRequest>(type, frame))
             (void)ask.value().isSound();
         (void)unpackMessage<CreditAnswer>(type, frame);
