Tell refused callers their return turn while a service is short

A request in its turn is not made to yield to more urgent kinds. Setting returnTurns.enabled, log fields retry_after_ms and in_turn, the counter onyxnotch_entry_returned_requests_total, and both in "onyxnotch explain".

--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -48,6 +48,13 @@
                 "reserve": { "type": "number", "minimum": 0, "default": 10, "description": "Beyond that, in each window." }
             }
         },
+        "returnTurns": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "When callers whose requests were refused for lack of capacity are told to return.",
+            "properties": {
+                "enabled": { "type": "boolean", "default": true, "description": "Whether they return in turns that all nodes calculate alike, while a service is short of capacity. Off, each node estimates the time on its own." }
+            }
+        },
         "rollouts": {
             "type": "object", "additionalProperties": false, "default": {},
             "description": "What a new version of a service may get before it is known to be good. Without it, all versions are used alike and no roll-out is carried out.",
@@ -133,6 +140,7 @@
         rollouts.enabled = rollouts.plan.canaryShare > 0;
         entry.forward.rollouts = rollouts.enabled;
         entry.forward.suspects = { .node = entry.node, .livesUntilBlocked = document["suspects"]["livesUntilBlocked"], .blockedFor = millisecondsFromSeconds(document["suspects"]["blockedSeconds"]) };
+        entry.forward.returnTurns.enabled = document["returnTurns"]["enabled"];
         entry.relays = document["relays"];
         entry.watching.everyNodeUpTo = document["everyNodeUpTo"];
         entry.grace = millisecondsFromSeconds(document["graceSeconds"]);
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -403,6 +403,10 @@
         result.usage = fleetUsage();
     for (const auto& [service, demand] : forward.demand.demand())
         result.demand[service] += demand;
+    std::map<std::string, ServiceRates> rates;
+    for (const auto& [service, demand] : result.demand)
+        rates[service] = { .requestsPerSecond = demand.requestsPerSecond, .refusedPerSecond = demand.refusedPerSecond };
+    forward.returnTurns.setRates(rates, result.fleetTimeMilliseconds);
 }
 
 asio::awaitable<void> EntryNode::RequestSide::drain()
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -125,6 +125,7 @@
         co_return co_await respond(*refusal);
     if (auto refusal = admit())
         co_return co_await respond(*refusal);
+    checkTurn();
     auto endpoints = m_context.view.endpoints();
     m_endpointsRevision = endpoints ? endpoints->revision : 0;
     m_context.applyEndpointList(endpoints, *m_configuration, steadyNow());
@@ -175,14 +176,36 @@
         .unqueuedSeconds = chosen.unqueuedSeconds,
         .leastWaitSeconds = chosen.leastWaitSeconds,
         .objectiveSeconds = objectiveSecondsLeft(),
-        .moreUrgent = moreUrgent.priorities,
+        .moreUrgent = m_isInTurn ? 0 : moreUrgent.priorities,
         .moreUrgentObjectiveSeconds = std::chrono::duration<double>(moreUrgent.shortestObjective).count(),
     });
 }
 
-// Refuses a request that cannot meet its objective. Retry-After estimates when there is capacity: the time to clear the backlog or, if
-// the service scales, half the boot time of an endpoint (on average a starting endpoint is halfway through), whichever is longer. The
-// time is randomized so that clients do not all return at the same moment.
+void Exchange::checkTurn()
+{
+    auto now = m_context.fleetTimeMilliseconds();
+    m_isInTurn = m_context.returnTurns.mayReturn(m_service->name, digest(), now);
+    if (m_isInTurn || m_context.returnTurns.isEarly(digest(), now))
+        m_context.metrics.increment("onyxnotch_entry_returned_requests_total", { { "kind", m_isInTurn ? "in_turn" : "early" } });
+}
+
+Milliseconds Exchange::delayUntilTurn(Milliseconds earliest, Milliseconds otherwise)
+{
+    // Clients honor a delay up to this part of the time that they have left.
+    constexpr int honoredPart = 3;
+    auto now = m_context.fleetTimeMilliseconds();
+    auto latest = now + static_cast<std::uint64_t>(std::max(Milliseconds(0), timeLeft() / honoredPart).count());
+    auto turn = m_context.returnTurns.nextTurn(m_service->name, digest(), now + static_cast<std::uint64_t>(earliest.count()), latest, now);
+    if (!turn)
+        return otherwise;
+    auto delay = Milliseconds(turn->at - now);
+    return turn->isTurn ? delay : std::max(delay, m_context.options.retryAfter);
+}
+
+// Refuses a request that cannot meet its objective. While the service is short over all nodes, Retry-After is the request's next turn
+// after the time to clear the backlog: capacity becomes available continuously, without waiting for a new endpoint. Otherwise it
+// estimates when there is capacity: the time to clear the backlog or, if the service scales, half the boot time of an endpoint (on average
+// a starting endpoint is halfway through), whichever is longer, randomized so that clients do not all return at the same moment.
 asio::awaitable<ExchangeResult> Exchange::refuseForCapacity(const ChosenEndpoint& chosen)
 {
     constexpr double minimumSpread = 0.75;
@@ -194,7 +217,9 @@
     if (m_service->scaling)
         untilCapacity = std::max<std::chrono::duration<double>>(untilCapacity, m_service->scaling->bootTime / 2);
     untilCapacity *= std::uniform_real_distribution<double>(minimumSpread, maximumSpread)(m_context.random);
-    LocalResponse refusal { .retryAfter = std::max(std::chrono::duration_cast<Milliseconds>(untilCapacity), m_context.options.retryAfter), .reason = "no_room" };
+    auto estimate = std::max(std::chrono::duration_cast<Milliseconds>(untilCapacity), m_context.options.retryAfter);
+    auto untilBacklogCleared = std::chrono::ceil<Milliseconds>(std::chrono::duration<double>(chosen.leastWaitSeconds));
+    LocalResponse refusal { .retryAfter = delayUntilTurn(untilBacklogCleared, estimate), .reason = "no_room" };
     co_return co_await respond(refusal);
 }
 
@@ -444,7 +469,8 @@
 }
 
 // Refuses a request for which no endpoint was available. If all endpoints requested a backoff or have no credits, Retry-After is the time
-// at which the first one can be used again: until then, this node has no endpoint to send the request to.
+// at which the first one can be used again: until then, this node has no endpoint to send the request to. While the service is short over
+// all nodes, it is the request's next turn after that; not for limited endpoints, whose capacity is known.
 Exchange::LocalResponse Exchange::noEndpointResponse()
 {
     LocalResponse refusal { .retryAfter = m_context.options.retryAfter, .reason = m_attemptTracker.attempts() > 0 ? "endpoint_refused" : "no_endpoint" };
@@ -456,11 +482,14 @@
         auto wait = m_context.returnTimes.next(m_service->name, availableAt.value_or(now), perSecond, now);
         return { .retryAfter = std::max(wait, m_context.options.retryAfter), .reason = "endpoints_limited" };
     }
-    if (!availableAt)
+    if (!availableAt) {
+        refusal.retryAfter = delayUntilTurn(Milliseconds(0), m_context.options.retryAfter);
         return refusal;
+    }
     constexpr double maximumSpread = 1.25;
     auto wait = std::chrono::duration<double>(*availableAt - now) * std::uniform_real_distribution<double>(1, maximumSpread)(m_context.random);
-    return { .retryAfter = std::max(std::chrono::ceil<Milliseconds>(wait), m_context.options.retryAfter), .reason = "endpoints_rest" };
+    auto estimate = std::max(std::chrono::ceil<Milliseconds>(wait), m_context.options.retryAfter);
+    return { .retryAfter = delayUntilTurn(std::chrono::ceil<Milliseconds>(*availableAt - now), estimate), .reason = "endpoints_rest" };
 }
 
 asio::awaitable<ExchangeResult> Exchange::relayFailure()
@@ -536,6 +565,8 @@
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " " + std::string(reasonPhrase(response.status)) + "\r\n";
     if (!m_requestId.empty())
         text += m_context.options.names.requestId + ": " + m_requestId + "\r\n";
+    if (response.retryAfter)
+        m_retryAfterMilliseconds = response.retryAfter->count();
     if (response.retryAfter)
         text += "Retry-After: " + formatSeconds(*response.retryAfter) + "\r\n";
     if (m_closeAfter || m_context.stopping)
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -76,6 +76,9 @@
     void writeNoticeLog(const ListedEndpoint&, const EndpointNotice&);
     LocalResponse withheldResponse();
     LocalResponse noEndpointResponse();
+    // The delay until the request's next turn, not before `earliest` has passed; `otherwise` if the service is not short over all nodes.
+    Milliseconds delayUntilTurn(Milliseconds earliest, Milliseconds otherwise);
+    void checkTurn();
     void writeAttemptLog(const EndpointState&, AttemptOutcome);
     EndpointRequest endpointRequest() const;
     VersionLimits versionLimits() const;
@@ -129,6 +132,11 @@
     bool m_isVersionMixed { false }; // Whether the service runs several versions, so that this attempt's outcome counts in comparing them.
     long m_firstEventMilliseconds { -1 }; // From the request's arrival to the first event; -1 if there was none.
     bool m_isClientDisconnected { false };
+    // Whether the request arrived in its turn (ReturnTurns): it was refused for lack of capacity and returns when it was told, or its first
+    // attempt happens to fall into its turn. Set by run() once the request is within its team's limit, constant afterwards. It goes before
+    // newcomers of its priority and is not made to yield to more urgent ones.
+    bool m_isInTurn { false };
+    long m_retryAfterMilliseconds { -1 }; // The delay that the client was told; -1 if none.
     AttemptTracker m_attemptTracker {};
     std::optional<RequestDigest> m_digest {}; // Computed by the first call of digest().
     std::vector<std::string> m_triedEndpoints {}; // Ids of the endpoints of all attempts.
--- a/modules/forward/exchange_notes.cpp
+++ b/modules/forward/exchange_notes.cpp
@@ -224,7 +224,10 @@
     m_context.metrics.observeSeconds("onyxnotch_entry_request_seconds", seconds, {});
     if (m_firstEventMilliseconds >= 0)
         m_context.metrics.observeSeconds("onyxnotch_entry_first_event_seconds", static_cast<double>(m_firstEventMilliseconds) / 1000, {});
-    auto& budget = status / 100 == 2 && outcome != "stream_cut" ? m_context.succeededRequestLines : m_context.failedRequestLines;
+    bool isServed = status / 100 == 2 && outcome != "stream_cut";
+    if (m_isInTurn && isServed)
+        m_context.metrics.increment("onyxnotch_entry_returned_requests_total", { { "kind", "served" } });
+    auto& budget = isServed ? m_context.succeededRequestLines : m_context.failedRequestLines;
     if (!budget.take(now))
         return;
     logEvent(LogLevel::Info, "request",
@@ -232,7 +235,8 @@
             { "team", m_team ? std::string_view(m_team->name) : std::string_view() }, { "endpoint", m_lastEndpoint }, { "choice", m_choiceReason },
             { "expected_ms", m_expectedMilliseconds }, { "unqueued_ms", m_unqueuedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "endpoints_revision", m_endpointsRevision },
             { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_requestedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_attemptTracker.attempts() }, { "status", status }, { "outcome", outcome }, { "objective_ms", m_route ? m_route->objective.count() : 0L },
-            { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "left_ms", m_route ? timeLeft().count() : 0L } });
+            { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "left_ms", m_route ? timeLeft().count() : 0L },
+            { "retry_after_ms", m_retryAfterMilliseconds }, { "in_turn", m_isInTurn ? 1 : 0 } });
 }
 
 } // namespace Onyxnotch
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -9,6 +9,7 @@
 #include "modules/forward/wire_names.h"
 #include "modules/limits/retry_budget.h"
 #include "modules/limits/retry_delays.h"
+#include "modules/limits/return_turns.h"
 #include "modules/limits/team_limits.h"
 #include "modules/limits/usage_ledger.h"
 #include "modules/rollout/answer_time_monitor.h"
@@ -42,6 +43,7 @@
     Milliseconds longPrefillThreshold { 40 };
     unsigned usageWindowMilliseconds { 5000 };
     SuspectOptions suspects {};
+    ReturnTurnsOptions returnTurns {};
     bool rollouts { false }; // Whether operators run rollouts, so that a new version may be a canary.
 };
 
@@ -173,6 +175,7 @@
     // Called when an endpoint's limit has changed: other nodes need the change at once.
     std::function<void()> notifyLimits {};
     RetryDelays returnTimes {};
+    ReturnTurns returnTurns { options.returnTurns };
     unsigned nodes { 1 }; // Nodes that share the endpoints' connections, including this one.
     std::mt19937_64 random { std::random_device {}() };
 
--- a/modules/report/request_timeline.cpp
+++ b/modules/report/request_timeline.cpp
@@ -114,6 +114,10 @@
         {
             m_endLine = &line;
             add(line, "ended: " + textField(line, "outcome") + ", status " + std::to_string(numberField(line, "status")) + " after " + std::to_string(numberField(line, "ms")) + " ms; route " + textField(line, "route") + ", team " + textField(line, "team") + ", configuration " + std::to_string(numberField(line, "configuration")) + ", tries " + std::to_string(numberField(line, "tries")));
+            if (numberField(line, "in_turn") != 0)
+                m_text += "    came in its turn\n";
+            if (line.fields.value("retry_after_ms", -1L) >= 0)
+                m_text += "    told to come back after " + std::to_string(numberField(line, "retry_after_ms")) + " ms" + (numberField(line, "in_turn") != 0 ? "" : "; had not come in its turn") + "\n";
             if (!textField(line, "endpoint").empty())
                 m_text += "    chosen by " + textField(line, "choice") + ": expected " + std::to_string(numberField(line, "expected_ms")) + " ms, " + std::to_string(numberField(line, "uncached_tokens")) + " tokens to read, "
                     + std::to_string(numberField(line, "waiting_tokens")) + " waiting before it; first event after " + std::to_string(numberField(line, "first_event_ms")) + " ms\n";
--- a/tests/modules/report/test_request_timeline.cpp
+++ b/tests/modules/report/test_request_timeline.cpp
@@ -61,6 +61,21 @@
     BOOST_TEST(!contains(text, "i-1"));
 }
 
+BOOST_AUTO_TEST_CASE(a_refused_request_states_its_return_time_and_turn)
+{
+    ParsedLog log;
+    parseLog(R"(
+{"time_ms":1000,"event":"request","instance":"n-1","request_id":"r-1","status":503,"outcome":"no_room","retry_after_ms":640,"in_turn":0}
+{"time_ms":1700,"event":"request","instance":"n-2","request_id":"r-2","status":200,"outcome":"streamed","retry_after_ms":-1,"in_turn":1}
+)",
+        log);
+    auto refused = requestTimeline(log, "r-1");
+    BOOST_TEST(contains(refused, "told to come back after 640 ms; had not come in its turn"));
+    auto returned = requestTimeline(log, "r-2");
+    BOOST_TEST(contains(returned, "came in its turn"));
+    BOOST_TEST(!contains(returned, "told to come back"));
+}
+
 BOOST_AUTO_TEST_CASE(a_blocked_request_is_traced_to_the_endpoints_that_ended_under_it)
 {
     ParsedLog log;
