--- a/tests/modules/limits/test_return_turns.cpp
+++ b/tests/modules/limits/test_return_turns.cpp
@@ -197,7 +197,7 @@
         }
         auto share = [](double part, double all) { return all > 0 ? part / all : 0; };
         m_result.peakReturns = peak;
-        m_result.meanReturns = sum / static_cast<double>((countedUntil - countedFrom) / 100);
+        m_result.meanReturns = sum * 100 / static_cast<double>(countedUntil - countedFrom);
         m_result.returnsRefusedAgain = share(m_returnsRefused, m_obeyingReturns);
         m_result.turnsRefusedAgain = share(m_turnsRefused, m_toldTurns);
         m_result.turnsNotRecognized = share(m_turnsNotRecognized, m_toldTurns);
@@ -305,7 +305,7 @@
             auto other = turnsWith(1000 * 1.1, 400 * 1.1 * 1.1);
             BOOST_TEST(!other.mayReturn(service, digest, turn->at - 100));
             BOOST_TEST(other.mayReturn(service, digest, turn->at + clockOffset));
-            for (int again = 0; again < 4; ++again)
+            for (std::int64_t again = 0; again < 4; ++again)
                 BOOST_TEST(!other.mayReturn(service, digest, turn->at + clockOffset + again * 50));
         }
     }
