Let requests wait for a place at an endpoint instead of refusing them

Cause: a request that finds no free slot is refused although one becomes free within its objective, and plain requests are sent to full endpoints.

Change: Exchange lets a request wait (exchange_queueing.cpp) before the first attempt and after a refusal by a full endpoint, if it is expected to get a place within the part of its objective that is left for waiting. Waiting requests leave with their client, key, route or service, and at the end of the grace time. Plain requests choose endpoints at random by slots while at most half of the slots are free. Settings queueing.*, log fields queued_ms and queue_place, metrics, reasons queue_full and no_place.

--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -48,6 +48,15 @@
                 "reserve": { "type": "number", "minimum": 0, "default": 10, "description": "Beyond that, in each window." }
             }
         },
+        "queueing": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "Requests that wait for a free place at an endpoint instead of being refused.",
+            "properties": {
+                "enabled": { "type": "boolean", "default": true, "description": "Whether requests wait at all." },
+                "maximumEntries": { "type": "integer", "minimum": 1, "default": 256, "description": "Requests that may wait at one node." },
+                "maximumWaitShare": { "type": "number", "minimum": 0, "maximum": 1, "default": 0.5, "description": "Longest wait, as a part of the objective of the route." }
+            }
+        },
         "rollouts": {
             "type": "object", "additionalProperties": false, "default": {},
             "description": "What a new version of a service may get before it is known to be good. Without it, all versions are used alike and no roll-out is carried out.",
@@ -127,6 +136,8 @@
         entry.forward.startupWait = milliseconds(document["startWaitMs"]);
         entry.forward.usageWindowMilliseconds = static_cast<unsigned>(millisecondsFromSeconds(document["usageWindowSeconds"]).count());
         entry.retries = { .perRequest = document["retries"]["perRequest"], .reserve = document["retries"]["reserve"] };
+        const auto& queueing = document["queueing"];
+        entry.forward.queueing = { .enabled = queueing["enabled"], .maximumEntries = queueing["maximumEntries"], .maximumWaitShare = queueing["maximumWaitShare"] };
         auto& rollouts = entry.rollouts;
         rollouts.plan.canaryShare = document["rollouts"]["canaryShare"];
         rollouts.plan.canarySlack = document["rollouts"]["canarySlack"];
--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -189,6 +189,24 @@
     usable = std::move(wanted);
 }
 
+void EndpointBook::keepOneBySlots(std::vector<std::shared_ptr<EndpointState>>& usable, const EndpointRequest& request)
+{
+    auto weight = [&](const EndpointState& it) { return std::max(0.0, it.listed.slots - (request.needsFreeSlot ? it.inFlight + it.peersInFlight : 0)); };
+    double total = 0;
+    for (const auto& it : usable)
+        total += weight(*it);
+    constexpr double selectors = 18446744073709551616.0; // Number of values of `spreadBy`.
+    auto left = total * (static_cast<double>(request.spreadBy) / selectors);
+    for (const auto& it : usable) {
+        left -= weight(*it);
+        if (left > 0)
+            continue;
+        auto kept = it;
+        usable = { std::move(kept) };
+        return;
+    }
+}
+
 double EndpointBook::memoryTokens(const std::string& service) const
 {
     auto it = m_memoryTokens.find(service);
@@ -215,7 +233,11 @@
     // If every endpoint is excluded for failures, the cause is probably not the endpoints, so they are used anyway.
     if (usable.empty())
         usable = std::move(excludedForFailures);
+    if (request.needsFreeSlot)
+        std::erase_if(usable, [](const auto& it) { return it->inFlight + it->peersInFlight >= it->listed.slots; });
     keepOnlyWantedVersion(usable, request.versions);
+    if (request.spreadBy != 0)
+        keepOneBySlots(usable, request);
     auto chains = chainHashes(request.parts);
     // The last part belongs to the request itself or to its session; the parts before it may be shared with other requests.
     auto key = chains.size() > 1 ? chains[chains.size() - 2] : (chains.empty() ? 0 : chains.back());
@@ -247,6 +269,25 @@
         .reason = choice->reason };
 }
 
+EndpointSlots EndpointBook::slots(const EndpointRequest& request, SteadyTime now) const
+{
+    auto found = m_endpointsByService.find(request.service);
+    if (found == m_endpointsByService.end())
+        return {};
+    EndpointSlots usable;
+    EndpointSlots excludedForFailures;
+    for (const auto& it : found->second) {
+        if (!isCandidate(*it, request, now))
+            continue;
+        auto& sum = it->health.isUsable(now) ? usable : excludedForFailures;
+        ++sum.endpoints;
+        sum.total += it->listed.slots;
+        sum.own += it->inFlight;
+        sum.free += std::max(0.0, it->listed.slots - it->inFlight - it->peersInFlight);
+    }
+    return usable.endpoints > 0 ? usable : excludedForFailures;
+}
+
 bool EndpointBook::areTimesTrusted(SteadyTime now) const
 {
     return m_firstEvents.isTrusted() || (m_firstSentAt != SteadyTime {} && now - m_firstSentAt >= trustedAfter);
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -56,6 +56,10 @@
     double objectiveSeconds { 0 }; // Time left until the request's first-event objective.
     std::vector<std::string> excluded {}; // Ids of endpoints that the request was already sent to, or for which it got no credit.
     bool skipsEndpointsWithoutCredit { false }; // Leave out endpoints that have no credit at present.
+    bool needsFreeSlot { false }; // Leave out endpoints whose slots are all in use according to the view.
+    // If not 0, selects one of the endpoints at random, by their free slots (needsFreeSlot) or by all their slots: in a shortage, all nodes
+    // would otherwise send to the same endpoint, the one with the fewest requests in their views.
+    std::uint64_t spreadBy { 0 };
     VersionLimits versions {};
 };
 
@@ -70,6 +74,14 @@
     std::string_view reason {};
 };
 
+// Slots of the endpoints that a request may go to, as the view shows them.
+struct EndpointSlots {
+    double total { 0 };
+    double free { 0 };
+    double own { 0 }; // In use by this node's requests.
+    unsigned endpoints { 0 };
+};
+
 class EndpointBook {
 public:
     explicit EndpointBook(std::string zone);
@@ -114,6 +126,8 @@
     std::optional<SteadyTime> earliestAvailable(const EndpointRequest&, SteadyTime now) const;
     // Chooses an endpoint; empty if the service has none that may be used. Changes no state: call noteSent() when the request is sent.
     std::optional<ChosenEndpoint> choose(const EndpointRequest&, SteadyTime now) const;
+    // Sums the slots of the endpoints that are eligible for the request and not in a backoff.
+    EndpointSlots slots(const EndpointRequest&, SteadyTime now) const;
     // Records that the request is sent to the endpoint, which is then expected to have the prompt's parts in its prefix cache.
     void noteSent(const EndpointRequest&, EndpointState&, SteadyTime now);
 
@@ -145,10 +159,13 @@
 
     // Sets the typical age of the load reports of other nodes.
     void setPeerLoadAge(Milliseconds age) { m_options.staleSeconds = std::chrono::duration<double>(age).count(); }
+    SteadyTime::duration peerLoadAge() const { return std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(m_options.staleSeconds)); }
     // Records the time to first event of a request that found no other prompt waiting at its endpoint.
     void observeFirstEvent(double uncachedTokens, double seconds);
     // Records how long a request that found a free slot occupied it.
     void observeSlot(const std::string& service, double seconds) { m_slotTimes[service].observe(seconds); }
+    // Average time that a request of the service occupies a slot; 0 before the first observation.
+    double slotSeconds(const std::string& service) const;
     // Whether estimated prompt times may be used to refuse requests: true once enough times were observed, or 2 seconds after the first
     // prompt was sent. If requests that find no other prompt waiting are still too rare by then, the endpoints are overloaded and an
     // inaccurate estimate is better than none: refusals based on it let other requests find nothing waiting, whose times correct the
@@ -166,7 +183,6 @@
     void mark(const EndpointIncarnation&, bool isFoundLocally, SteadyTime now);
     void removeExpiredMarks(SteadyTime now);
     double memoryTokens(const std::string& service) const;
-    double slotSeconds(const std::string& service) const;
     // Whether the endpoint is not leaving and runs a version that the request may go to.
     bool isEligible(const EndpointState&, const EndpointRequest&) const;
     bool isCandidate(const EndpointState&, const EndpointRequest&, SteadyTime now) const;
@@ -174,6 +190,7 @@
     // Whether the list contains this incarnation and does not show it as leaving.
     bool isListedAndNotLeaving(const EndpointIncarnation&) const;
     bool shouldSendMark(const EndpointIncarnation&, const LeavingMark&, SteadyTime now) const;
+    static void keepOneBySlots(std::vector<std::shared_ptr<EndpointState>>&, const EndpointRequest&);
     // Reduces the endpoints to those with the version that the request should go to, if there are any.
     static void keepOnlyWantedVersion(std::vector<std::shared_ptr<EndpointState>>&, const VersionLimits&);
 
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -96,6 +96,8 @@
         exchangeDirectly(now);
     if (ticks % usagePeriodTicks == usagePhase)
         sendUsage();
+    // New loads of the peers and a new configuration count from now on; each request that waits checks whether it may stay.
+    forward.waiting.wakeAll();
 }
 
 void EntryNode::RequestSide::exchangeDirectly(SteadyTime now)
@@ -403,6 +405,7 @@
         result.usage = fleetUsage();
     for (const auto& [service, demand] : forward.demand.demand())
         result.demand[service] += demand;
+    forward.waiting.setDemand(forward.demand.demand(), result.demand);
 }
 
 asio::awaitable<void> EntryNode::RequestSide::drain()
@@ -414,6 +417,9 @@
     auto end = began + options.grace - options.graceMargin;
     while (steadyNow() < end) {
         co_await sleepFor(context, detail::drainPollInterval);
+        // Leaves time to write the refusals of the requests that still wait.
+        if (!forward.waiting.isStopped() && end - steadyNow() < 4 * detail::drainPollInterval)
+            forward.waiting.stop();
         if (steadyNow() < noticedAt)
             continue;
         // A load balancer with too few other nodes still sends clients here. Refusing them is better than cutting their requests at the
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -134,6 +134,8 @@
         m_isClientDisconnected = true;
         if (m_call)
             m_call->cancel();
+        if (m_waiter)
+            m_waiter->timer.cancel();
     });
     auto result = co_await runAttempts();
     m_client->unwatch();
@@ -238,12 +240,25 @@
 asio::awaitable<ExchangeResult> Exchange::runAttempts()
 {
     bool first = true;
+    bool wasRefused = false;
     while (true) {
         if (timeLeft() < m_context.options.minimumTimeToSend) {
             m_attemptTracker.onEnd(AttemptOutcome::OutOfTime);
             co_return co_await finishUndelivered(AttemptOutcome::OutOfTime);
         }
         auto request = endpointRequest();
+        if (m_context.options.queueing.enabled && (first || wasRefused) && m_attemptTracker.neverExecuted()) {
+            auto refusal = co_await waitForPlace(request, first, wasRefused);
+            if (refusal && !m_isClientDisconnected) {
+                if (first)
+                    m_context.demand.onRequest(m_service->name, 0);
+                co_return co_await refuseWaiting(*refusal);
+            }
+        }
+        if (m_isClientDisconnected) {
+            m_attemptTracker.onEnd(AttemptOutcome::CallerLeft);
+            co_return co_await finishUndelivered(AttemptOutcome::CallerLeft);
+        }
         auto chosen = co_await selectEndpoint(request);
         if (m_isClientDisconnected) {
             if (chosen)
@@ -261,8 +276,13 @@
         }
         first = false;
         m_context.endpoints.noteSent(request, *chosen->endpoint, steadyNow());
+        takePlace();
         auto outcome = co_await runAttempt(*chosen);
+        releasePlace(request, *chosen);
         m_attemptTracker.onEnd(outcome);
+        wasRefused = outcome == AttemptOutcome::NotRun && HttpStatus::isRefusalStatus(m_responseStatus);
+        if (wasRefused)
+            m_context.waiting.pacer(m_service->name).onRefused();
         updateHealth(*chosen->endpoint, outcome);
         recordVersionOutcome(*chosen, outcome);
         if (outcome == AttemptOutcome::Delivered) {
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -85,6 +85,35 @@
     bool canMeetObjective(const ChosenEndpoint&) const;
     asio::awaitable<ExchangeResult> refuseForCapacity(const ChosenEndpoint&);
 
+    // Waiting for a place, in exchange_queueing.cpp.
+    enum class PlaceState {
+        Ready, // The request can be sent.
+        Unseen, // The view shows no room, but is older than a request occupies a place: places have become free since.
+        Full, // Endpoints may be used, but none has room.
+        NoEndpoint,
+    };
+    struct PlaceCheck {
+        PlaceState state { PlaceState::NoEndpoint };
+        std::optional<ChosenEndpoint> chosen {}; // Set unless `state` is NoEndpoint.
+        bool isScarce { false }; // Few places of the plain service are free.
+    };
+    PlaceCheck checkPlace(EndpointRequest&, bool isFirst);
+    PacingInput pacingInput(const EndpointRequest&, const ChosenEndpoint&) const;
+    bool mayTakePlace(const EndpointRequest&, const PlaceCheck&);
+    double expectedQueueSeconds(const QueueEntry&, const PlaceCheck&, const EndpointRequest&) const;
+    Milliseconds allowedWait(const PlaceCheck&) const;
+    std::optional<LocalResponse> checkStay(const QueueWaiter&);
+    // Waits in the queue if the request cannot be sent now but is expected to get a place in time. Returns a response if it is refused;
+    // otherwise `request` selects the endpoints that it may go to. `wasRefused`: an endpoint has just refused it without executing it.
+    asio::awaitable<std::optional<LocalResponse>> waitForPlace(EndpointRequest& request, bool isFirst, bool wasRefused);
+    asio::awaitable<std::optional<LocalResponse>> waitInQueue(QueueWaiter&, const QueueEntry&, EndpointRequest&, bool isFirst, const LocalResponse& noPlace, bool retriesSameEndpoints);
+    bool takesPlace(EndpointRequest&, bool isFirst, bool retriesSameEndpoints);
+    asio::awaitable<ExchangeResult> refuseWaiting(LocalResponse);
+    void updateQueueGauge();
+    void takePlace();
+    void releasePlace(const EndpointRequest&, const ChosenEndpoint&);
+    std::string teamName() const;
+
     std::string requestHead(const ListedEndpoint&) const;
     std::string responseHead(const HttpHead&, std::optional<std::size_t> length) const;
     asio::awaitable<ExchangeResult> respond(LocalResponse);
@@ -129,6 +158,9 @@
     bool m_isVersionMixed { false }; // Whether the service runs several versions, so that this attempt's outcome counts in comparing them.
     long m_firstEventMilliseconds { -1 }; // From the request's arrival to the first event; -1 if there was none.
     bool m_isClientDisconnected { false };
+    QueueWaiter* m_waiter { nullptr }; // While the request waits in the queue.
+    long m_queuedMilliseconds { 0 }; // Time spent in the queue.
+    long m_queuePlace { 0 }; // Place in the queue when the request entered it; 0 if it did not.
     AttemptTracker m_attemptTracker {};
     std::optional<RequestDigest> m_digest {}; // Computed by the first call of digest().
     std::vector<std::string> m_triedEndpoints {}; // Ids of the endpoints of all attempts.
--- a/modules/forward/exchange_notes.cpp
+++ b/modules/forward/exchange_notes.cpp
@@ -58,6 +58,7 @@
     m_firstEventMilliseconds = toMilliseconds(steadyNow() - m_request.arrivedAt).count();
     m_firstEventAt = steadyNow();
     m_flight->prefilled();
+    m_context.waiting.wakeNext(m_service->name);
     // Prefill speed is measured only if no other prompt was waiting at the endpoint, neither when it was chosen nor at the first event.
     if (m_waitingTokens == 0 && m_context.endpoints.waitingTokens(*chosen.endpoint, steadyNow()) == 0)
         m_context.endpoints.observeFirstEvent(chosen.uncachedTokens, seconds);
@@ -232,7 +233,7 @@
             { "team", m_team ? std::string_view(m_team->name) : std::string_view() }, { "endpoint", m_lastEndpoint }, { "choice", m_choiceReason },
             { "expected_ms", m_expectedMilliseconds }, { "unqueued_ms", m_unqueuedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "endpoints_revision", m_endpointsRevision },
             { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_requestedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_attemptTracker.attempts() }, { "status", status }, { "outcome", outcome }, { "objective_ms", m_route ? m_route->objective.count() : 0L },
-            { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "left_ms", m_route ? timeLeft().count() : 0L } });
+            { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "queued_ms", m_queuedMilliseconds }, { "queue_place", m_queuePlace }, { "left_ms", m_route ? timeLeft().count() : 0L } });
 }
 
 } // namespace Onyxnotch
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -6,6 +6,7 @@
 #include "core/metrics.h"
 #include "modules/balance/endpoint_book.h"
 #include "modules/forward/demand_meter.h"
+#include "modules/forward/waiting_requests.h"
 #include "modules/forward/wire_names.h"
 #include "modules/limits/retry_budget.h"
 #include "modules/limits/retry_delays.h"
@@ -42,6 +43,7 @@
     Milliseconds longPrefillThreshold { 40 };
     unsigned usageWindowMilliseconds { 5000 };
     SuspectOptions suspects {};
+    QueueingOptions queueing {};
     bool rollouts { false }; // Whether operators run rollouts, so that a new version may be a canary.
 };
 
@@ -102,6 +104,7 @@
         , retries(retryOptions)
         , usage(options.usageWindowMilliseconds)
         , suspects(options.suspects)
+        , waiting(requestContext, options.queueing)
         , bodyMemory(options.maximumBufferedBodyBytes)
     {
     }
@@ -141,6 +144,7 @@
             suspects.onIncarnationRemoved(hashOf(it), now);
         if (options.rollouts)
             versions.onList(*list, now);
+        waiting.wakeNextOfEachService();
     }
 
     asio::io_context& context;
@@ -152,6 +156,7 @@
     SharedRetryBudget retries;
     UsageLedger usage;
     SuspectTracker suspects;
+    WaitingRequests waiting;
     DemandMeter demand {};
     VersionGate versions {};
     AnswerTimeMonitor pace {};
--- a/modules/report/request_timeline.cpp
+++ b/modules/report/request_timeline.cpp
@@ -28,6 +28,8 @@
             { "no_endpoint", "No endpoint was listed, or none could be connected to; it has not run." },
             { "endpoints_rest", "Every endpoint of the service that could run it had turned this node away and asked for rest; it has not run." },
             { "endpoints_limited", "Every endpoint of the service that could run it had named how much it takes, and that was used up for the moment; it has not run." },
+            { "no_place", "No endpoint had a free place and it could not get one in time; it has not run." },
+            { "queue_full", "As many requests as may wait at the node were waiting, and all of them were to be served before it; it has not run." },
             { "endpoint_refused", "The endpoints that were tried said that they did not run it." },
             { "endpoint_broke", "An endpoint's answer broke, and the request may have run there." },
             { "endpoint_failed", "The endpoint answered with a failure of its own, which was passed on." },
@@ -114,6 +116,8 @@
         {
             m_endLine = &line;
             add(line, "ended: " + textField(line, "outcome") + ", status " + std::to_string(numberField(line, "status")) + " after " + std::to_string(numberField(line, "ms")) + " ms; route " + textField(line, "route") + ", team " + textField(line, "team") + ", configuration " + std::to_string(numberField(line, "configuration")) + ", tries " + std::to_string(numberField(line, "tries")));
+            if (numberField(line, "queue_place") > 0)
+                m_text += "    waited " + std::to_string(numberField(line, "queued_ms")) + " ms for a place; it was number " + std::to_string(numberField(line, "queue_place")) + " in the queue when it began to wait\n";
             if (!textField(line, "endpoint").empty())
                 m_text += "    chosen by " + textField(line, "choice") + ": expected " + std::to_string(numberField(line, "expected_ms")) + " ms, " + std::to_string(numberField(line, "uncached_tokens")) + " tokens to read, "
                     + std::to_string(numberField(line, "waiting_tokens")) + " waiting before it; first event after " + std::to_string(numberField(line, "first_event_ms")) + " ms\n";
