Test the choice by slots and the account of a request that waited

Cause: both were covered only through the simulation and real processes.

Change: a test of EndpointBook::slots and of the choice by free slots, and one of the wait in the account of a request.

--- a/tests/modules/balance/test_endpoint_book.cpp
+++ b/tests/modules/balance/test_endpoint_book.cpp
@@ -168,4 +168,34 @@
     BOOST_TEST(book.choose({ .service = "s" }, start + Milliseconds(70010)).has_value());
 }
 
+// Guards against plain requests that are sent to a full endpoint, and against all nodes choosing the same endpoint in a shortage.
+BOOST_AUTO_TEST_CASE(a_choice_by_slots_leaves_out_full_endpoints_and_reaches_all_others)
+{
+    EndpointBook book("z");
+    auto list = std::make_shared<EndpointList>();
+    for (const auto* id : { "i-1", "i-2", "i-3" }) {
+        auto it = endpoint(1);
+        it.id = id;
+        list->endpoints[id] = it;
+    }
+    book.update(list, oneService(), start);
+    book.setPeerLoads({ { { .id = "i-1", .born = 1 }, { .inFlight = 8 } }, { { .id = "i-2", .born = 1 }, { .inFlight = 6 } } }, start);
+    EndpointRequest request { .service = "s" };
+    auto slots = book.slots(request, start);
+    BOOST_TEST(slots.total == 24);
+    BOOST_TEST(slots.free == 10);
+    request.needsFreeSlot = true;
+    std::map<std::string, int> counts;
+    for (int n = 0; n < 100; ++n) {
+        request.spreadBy = (~std::uint64_t(0) / 100) * static_cast<std::uint64_t>(n) + 1;
+        ++counts[book.choose(request, start)->endpoint->listed.id];
+    }
+    // By their free slots: 0, 2 and 8.
+    BOOST_TEST(counts["i-1"] == 0);
+    BOOST_TEST(counts["i-2"] >= 19);
+    BOOST_TEST(counts["i-2"] <= 21);
+    request.excluded = { "i-2", "i-3" };
+    BOOST_TEST(!book.choose(request, start));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/modules/report/test_request_timeline.cpp
+++ b/tests/modules/report/test_request_timeline.cpp
@@ -61,6 +61,15 @@
     BOOST_TEST(!contains(text, "i-1"));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_waited_shows_its_wait_and_place)
+{
+    ParsedLog log;
+    parseLog(R"({"time_ms":5200,"event":"request","instance":"n-1","request_id":"r-1","status":503,"outcome":"no_place","ms":181,"queued_ms":180,"queue_place":3})", log);
+    auto text = requestTimeline(log, "r-1");
+    BOOST_TEST(contains(text, "waited 180 ms for a place; it was number 3 in the queue"));
+    BOOST_TEST(contains(text, "Cause: No endpoint had a free place"));
+}
+
 BOOST_AUTO_TEST_CASE(a_blocked_request_is_traced_to_the_endpoints_that_ended_under_it)
 {
     ParsedLog log;
