Count earlier waits of a request in its longest wait

Cause: a request that an endpoint refused after it had waited could wait for the whole maximumWaitShare again, and its aging began anew. A late plain request got a shorter Retry-After than without the queue if its service scales.

Change: the time already spent in the queue is deducted, and counts as waited. Late requests of all kinds are refused as before the queue.

--- a/modules/forward/exchange_queueing.cpp
+++ b/modules/forward/exchange_queueing.cpp
@@ -106,12 +106,13 @@
     return untilAdmitted < 0 ? untilAdmitted : untilAdmitted + begins;
 }
 
-// The longest time that the request may wait, from now.
+// The longest time that the request may wait, from now. Earlier waits, before an endpoint refused it, count as well.
 Milliseconds Exchange::allowedWait(const PlaceCheck& check) const
 {
     auto own = m_route->kind == RequestKind::Stream ? check.chosen->unqueuedSeconds : m_context.endpoints.slotSeconds(m_service->name);
     auto bound = std::chrono::duration<double>(m_route->objective).count() * m_context.options.queueing.maximumWaitShare;
-    auto seconds = std::clamp(objectiveSecondsLeft() - own, 0.0, bound);
+    bound -= std::chrono::duration<double>(Milliseconds(m_queuedMilliseconds)).count();
+    auto seconds = std::clamp(objectiveSecondsLeft() - own, 0.0, std::max(0.0, bound));
     return std::min(std::chrono::floor<Milliseconds>(std::chrono::duration<double>(seconds)), timeLeft() - m_context.options.minimumTimeToSend);
 }
 
@@ -162,7 +163,7 @@
     if (check.state == PlaceState::NoEndpoint)
         co_return std::nullopt;
     auto now = steadyNow();
-    QueueEntry entry { .service = service, .team = teamName(), .priority = priority(), .enteredAt = now, .leavesAt = now + allowedWait(check) };
+    QueueEntry entry { .service = service, .team = teamName(), .priority = priority(), .enteredAt = now - Milliseconds(m_queuedMilliseconds), .leavesAt = now + allowedWait(check) };
     bool isQueueEmpty = !waiting.queue().next(service, now).has_value();
     bool isPaced = check.state == PlaceState::Unseen || check.isScarce || !isQueueEmpty;
     bool canSend = check.state != PlaceState::Full && !retriesSameEndpoints && waiting.queue().entriesBefore(entry, now) == 0;
@@ -176,11 +177,11 @@
     if (waiting.isStopped())
         co_return noPlace;
     if (expectedSeconds < 0 || expectedSeconds > allowedSeconds || allowedSeconds <= 0) {
-        // A stream that cannot be on time is refused by runAttempts(), which knows when there is capacity.
-        bool isLateStream = isFirst && m_route->kind == RequestKind::Stream && check.state == PlaceState::Full;
+        // A request that cannot be on time is refused by runAttempts(), with the time until there is capacity.
+        bool isLate = isFirst && check.state == PlaceState::Full && !canMeetObjective(*check.chosen);
         // A request is never refused if nothing is waiting and the view shows a free place.
         bool hasFreePlace = check.state == PlaceState::Ready && isQueueEmpty && !retriesSameEndpoints;
-        if (isLateStream || hasFreePlace)
+        if (isLate || hasFreePlace)
             co_return std::nullopt;
         co_return noPlace;
     }
