--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -64,6 +64,15 @@
                 "enabled": { "type": "boolean", "default": true, "description": "Whether they return in turns that all nodes calculate alike, while a service is short of capacity. Off, each node estimates the time on its own." }
             }
         },
+        "queueing": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "Requests that wait for a free place at an endpoint instead of being refused.",
+            "properties": {
+                "enabled": { "type": "boolean", "default": true, "description": "Whether requests wait at all." },
+                "maximumEntries": { "type": "integer", "minimum": 1, "default": 256, "description": "Requests that may wait at one node." },
+                "maximumWaitShare": { "type": "number", "minimum": 0, "maximum": 1, "default": 0.5, "description": "Longest wait, as a part of the objective of the route." }
+            }
+        },
         "rollouts": {
             "type": "object", "additionalProperties": false, "default": {},
             "description": "What a new version of a service may get before it is known to be good. Without it, all versions are used alike and no roll-out is carried out.",
@@ -152,6 +161,8 @@
         entry.retries = { .perRequest = document["retries"]["perRequest"], .reserve = document["retries"]["reserve"] };
         const auto& teamLimits = document["teamLimits"];
         entry.teamLimitTolerance = { .overshoot = teamLimits["overshoot"], .slackTokens = teamLimits["slackTokens"], .window = millisecondsFromSeconds(teamLimits["windowSeconds"]) };
+        const auto& queueing = document["queueing"];
+        entry.forward.queueing = { .enabled = queueing["enabled"], .maximumEntries = queueing["maximumEntries"], .maximumWaitShare = queueing["maximumWaitShare"] };
         auto& rollouts = entry.rollouts;
         rollouts.plan.canaryShare = document["rollouts"]["canaryShare"];
         rollouts.plan.canarySlack = document["rollouts"]["canarySlack"];
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -101,6 +101,8 @@
     exchangeEndpointSpeeds(now);
     if (ticks % usagePeriodTicks == usagePhase)
         sendUsage();
+    // New loads of the peers and a new configuration count from now on; each request that waits checks whether it may stay.
+    forward.waiting.wakeAll();
 }
 
 void EntryNode::RequestSide::exchangeEndpointSpeeds(SteadyTime now)
@@ -444,6 +446,7 @@
     for (const auto& [service, demand] : result.demand)
         rates[service] = { .requestsPerSecond = demand.requestsPerSecond, .refusedPerSecond = demand.refusedPerSecond };
     forward.returnTurns.setRates(rates, result.fleetTimeMilliseconds);
+    forward.waiting.setDemand(forward.demand.demand(), result.demand);
 }
 
 asio::awaitable<void> EntryNode::RequestSide::drain()
@@ -455,6 +458,9 @@
     auto end = began + options.grace - options.graceMargin;
     while (steadyNow() < end) {
         co_await sleepFor(context, detail::drainPollInterval);
+        // Leaves time to write the refusals of the requests that still wait.
+        if (!forward.waiting.isStopped() && end - steadyNow() < 4 * detail::drainPollInterval)
+            forward.waiting.stop();
         if (steadyNow() < noticedAt)
             continue;
         // A load balancer with too few other nodes still sends clients here. Refusing them is better than cutting their requests at the
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -6,6 +6,7 @@
 #include "core/metrics.h"
 #include "modules/balance/endpoint_book.h"
 #include "modules/forward/demand_meter.h"
+#include "modules/forward/waiting_requests.h"
 #include "modules/forward/wire_names.h"
 #include "modules/limits/retry_budget.h"
 #include "modules/limits/retry_delays.h"
@@ -45,6 +46,7 @@
     SuspectOptions suspects {};
     bool endpointSpeeds { true }; // Whether endpoints are chosen by their measured speed and failures over all nodes (EndpointSpeeds).
     ReturnTurnsOptions returnTurns {};
+    QueueingOptions queueing {};
     bool rollouts { false }; // Whether operators run rollouts, so that a new version may be a canary.
 };
 
@@ -105,6 +107,7 @@
         , retries(retryOptions)
         , usage(options.usageWindowMilliseconds)
         , suspects(options.suspects)
+        , waiting(requestContext, options.queueing)
         , bodyMemory(options.maximumBufferedBodyBytes)
     {
         endpoints.speeds().setEnabled(options.endpointSpeeds);
@@ -145,6 +148,7 @@
             suspects.onIncarnationRemoved(hashOf(it), now);
         if (options.rollouts)
             versions.onList(*list, now);
+        waiting.wakeNextOfEachService();
     }
 
     asio::io_context& context;
@@ -156,6 +160,7 @@
     SharedRetryBudget retries;
     UsageLedger usage;
     SuspectTracker suspects;
+    WaitingRequests waiting;
     DemandMeter demand {};
     VersionGate versions {};
     AnswerTimeMonitor pace {};
