--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -198,6 +198,8 @@
     void mark(const EndpointIncarnation&, bool isFoundLocally, SteadyTime now);
     void removeExpiredMarks(SteadyTime now);
     double memoryTokens(const std::string& service) const;
+    // Expected time between events of a stream that is sent to the endpoint now; 0 as long as it is not known.
+    double expectedPauseSeconds(const EndpointState&, SteadyTime now) const;
     // Whether the endpoint is not leaving and runs a version that the request may go to.
     bool isEligible(const EndpointState&, const EndpointRequest&) const;
     bool isCandidate(const EndpointState&, const EndpointRequest&, SteadyTime now) const;
