Calculate a shared admission level and fair shares of teams

Cause: during a shortage each node refuses on its own, in order of arrival: urgent requests are late while others are served, and a team at several times its usual rate takes capacity from the others. Change: SharedAdmission calculates, from the sum of all nodes' reports, the capacity that is served in time, the level by priority and weighted max-min shares of teams. The random number of a request follows from its digest and the second. Not used yet.

--- a/tests/fuzz/fuzz_documents.cpp
+++ b/tests/fuzz/fuzz_documents.cpp
@@ -3,9 +3,11 @@
 #include "core/deflate.h"
 #include "core/net/frame.h"
 #include "core/utf8.h"
+#include "modules/admission/shared_admission.h"
 #include "modules/control/endpoint_history.h"
 #include "modules/peers/group_aggregate.h"
 #include "modules/peers/limit_messages.h"
+#include "modules/peers/relayed_sum.h"
 #include "modules/suspects/suspect_tracker.h"
 #include "platform/decoders.h"
 #include "platform/store_pages.h"
@@ -96,9 +98,34 @@
         0, [](const auto&) { return false; }, now);
 }
 
+// Arbitrary data received from a peer must not make the admission load exceed its size limits, or lead to a chance out of range.
+void checkAdmission(const SumUpdate<AdmissionLoad>& update)
+{
+    if (!update.isSound())
+        return;
+    constexpr SteadyTime now { std::chrono::hours(1) };
+    RelayedSum<AdmissionLoad> sum({ .node = "own" });
+    sum.onUpdate(update, now);
+    auto total = sum.total(now);
+    total.sum.limitSize();
+    SharedAdmission admission;
+    AdmissionView view;
+    for (const auto& [service, it] : total.sum.services)
+        view.services[service] = { .slots = 1, .busySlots = 1 };
+    for (int period = 0; period < 4; ++period)
+        admission.update(total.sum, total.nodes, view, now + Milliseconds(250 * period));
+    for (const auto& [service, load] : total.sum.services) {
+        require(load.demand.size() <= (AdmissionLoad::maximumTeams + 1) * (maximumAdmissionPriority + 1U));
+        for (const auto& [group, it] : load.demand) {
+            auto chance = admission.chance(service, group, now + Milliseconds(1000));
+            require(chance >= 0 && chance <= 1);
+        }
+    }
+}
+
 void checkMessages(const std::string& bytes)
 {
-    for (auto type : { MessageType::PeerRow, MessageType::ZoneAggregate, MessageType::PrefillNotice, MessageType::UsageNotice, MessageType::SuspectNotice, MessageType::LimitUpdate, MessageType::CreditRequest, MessageType::CreditAnswer, MessageType::CreditReturn }) {
+    for (auto type : { MessageType::PeerRow, MessageType::ZoneAggregate, MessageType::PrefillNotice, MessageType::UsageNotice, MessageType::SuspectNotice, MessageType::LimitUpdate, MessageType::CreditRequest, MessageType::CreditAnswer, MessageType::CreditReturn, MessageType::AdmissionLoad }) {
         Frame frame { .type = type, .payload = bytes };
         if (auto sum = unpackMessage<GroupAggregate>(type, frame))
             (void)sum.value().isSound();
@@ -107,6 +134,8 @@
         (void)unpackMessage<UsageNotice>(type, frame);
         if (auto news = unpackMessage<LimitUpdate>(type, frame))
             checkLimits(news.value());
+        if (auto update = unpackMessage<SumUpdate<AdmissionLoad>>(type, frame))
+            checkAdmission(update.value());
         if (auto ask = unpackMessage<CreditRequest>(type, frame))
             (void)ask.value().isSound();
         (void)unpackMessage<CreditAnswer>(type, frame);
