Apply the shared admission level in the request path

Cause: nothing used the level. Change: a request is checked after the team's limit and before an endpoint is chosen; a refusal is 503 with Retry-After, reason level or team_share, and the team's charge is returned. Result: SharedAdmissionTests, pages, settings and timeline tests pass; of the entry tests, Forwarding, EndpointsThatAskForRest and EndpointsThatNameALimit pass.

--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -64,6 +64,13 @@
                 "blockedSeconds": { "type": "number", "minimum": 1, "default": 600, "description": "For how long it is blocked at least, before one node after the other may try it again. Doubled each time that a trial ends an endpoint." }
             }
         },
+        "sharedAdmission": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "What all nodes together admit while a service is short of capacity: more urgent requests first, and fair shares of teams.",
+            "properties": {
+                "enabled": { "type": "boolean", "default": true, "description": "Off, each node admits what it expects to be on time." }
+            }
+        },
         "relays": { "type": "boolean", "default": true, "description": "Whether the nodes of a large fleet hear of each other by relays of their zones. Off, each tells as many others as it can." },
         "everyNodeUpTo": { "type": "integer", "minimum": 1, "default": 16, "description": "Up to so many nodes each one tells every other, and follows the store itself. A larger fleet uses relays." },
         "graceSeconds": { "type": "number", "minimum": 0.5, "default": 8, "description": "Time from the stop signal to the kill." },
@@ -133,6 +140,7 @@
         rollouts.enabled = rollouts.plan.canaryShare > 0;
         entry.forward.rollouts = rollouts.enabled;
         entry.forward.suspects = { .node = entry.node, .livesUntilBlocked = document["suspects"]["livesUntilBlocked"], .blockedFor = millisecondsFromSeconds(document["suspects"]["blockedSeconds"]) };
+        entry.forward.sharedAdmission = document["sharedAdmission"]["enabled"];
         entry.relays = document["relays"];
         entry.watching.everyNodeUpTo = document["everyNodeUpTo"];
         entry.grace = millisecondsFromSeconds(document["graceSeconds"]);
--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -201,6 +201,22 @@
     return it == m_slotTimes.end() ? 0 : it->second.seconds();
 }
 
+std::map<std::string, ServiceCapacity> EndpointBook::usableCapacity(SteadyTime now) const
+{
+    std::map<std::string, ServiceCapacity> capacities;
+    for (const auto& [service, endpoints] : m_endpointsByService) {
+        auto& sum = capacities[service];
+        for (const auto& it : endpoints) {
+            if (!mayStillSend(it->listed.life(), now))
+                continue;
+            ++sum.endpoints;
+            sum.slots += it->listed.slots;
+            sum.inFlight += it->inFlight + it->peersInFlight;
+        }
+    }
+    return capacities;
+}
+
 std::optional<ChosenEndpoint> EndpointBook::choose(const EndpointRequest& request, SteadyTime now) const
 {
     auto found = m_endpointsByService.find(request.service);
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -70,6 +70,15 @@
     std::string_view reason {};
 };
 
+// Endpoints of one service that may be used.
+struct ServiceCapacity {
+    unsigned endpoints { 0 };
+    double slots { 0 };
+    double inFlight { 0 }; // Requests of all nodes at these endpoints.
+
+    bool operator==(const ServiceCapacity&) const = default;
+};
+
 class EndpointBook {
 public:
     explicit EndpointBook(std::string zone);
@@ -149,6 +158,10 @@
     void observeFirstEvent(double uncachedTokens, double seconds);
     // Records how long a request that found a free slot occupied it.
     void observeSlot(const std::string& service, double seconds) { m_slotTimes[service].observe(seconds); }
+    // How long a request of the service usually occupies a slot; 0 before the first observation.
+    double usualSlotSeconds(const std::string& service) const { return slotSeconds(service); }
+    // The endpoints of each service that may be used at present.
+    std::map<std::string, ServiceCapacity> usableCapacity(SteadyTime now) const;
     // Whether estimated prompt times may be used to refuse requests: true once enough times were observed, or 2 seconds after the first
     // prompt was sent. If requests that find no other prompt waiting are still too rare by then, the endpoints are overloaded and an
     // inaccurate estimate is better than none: refusals based on it let other requests find nothing waiting, whose times correct the
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -45,6 +45,7 @@
         // These options are read on the request thread only, so no lock is needed.
         m_options.grace = options.grace;
         m_requests->forward.retries.setOptions(options.retries);
+        m_requests->forward.options.sharedAdmission = options.forward.sharedAdmission;
         m_requests->forward.options.maximumClients = options.forward.maximumClients;
         m_requests->forward.bodyMemory.setMost(options.forward.maximumBufferedBodyBytes);
     });
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -24,10 +24,12 @@
               .limits = [this](const LimitUpdate& update) { limits.onLimitUpdate(update); },
               .creditAsk = [this](const CreditRequest& creditRequest, const Address& from) { limits.onCreditRequest(creditRequest, from); },
               .creditAnswer = [this](const CreditAnswer& answer, const Address& from) { limits.onCreditAnswer(answer, from); },
-              .creditReturn = [this](const CreditReturn& returned) { limits.onCreditReturn(returned); } })
+              .creditReturn = [this](const CreditReturn& returned) { limits.onCreditReturn(returned); },
+              .admissionLoad = [this](const SumUpdate<AdmissionLoad>& update) { admissionSum.onUpdate(update, steadyNow()); } })
     , readiness(context, entryOptions.readiness, [this](const HttpHead&) { return answerReadiness(); })
     , lifetime(wallMilliseconds())
     , limits(context, forward, exchange, relay, { .node = entryOptions.node, .lifetime = lifetime })
+    , admissionSum({ .node = entryOptions.node, .lifetime = lifetime, .zone = entryOptions.zone })
     , ownClockDifference(static_cast<std::int64_t>(lifetime) - steadyMilliseconds())
 {
     forward.clockDifference = ownClockDifference;
@@ -94,6 +96,7 @@
         exchangeThroughRelays(now);
     else
         exchangeDirectly(now);
+    updateAdmission(now, seconds);
     if (ticks % usagePeriodTicks == usagePhase)
         sendUsage();
 }
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -8,6 +8,7 @@
 #include "modules/control/blocked_requests.h"
 #include "modules/entry/entry_limits.h"
 #include "modules/entry/entry_node.h"
+#include "modules/peers/sum_exchange.h"
 
 namespace Onyxnotch {
 
@@ -81,6 +82,10 @@
     void adaptDirectTimeouts();
     static std::map<EndpointIncarnation, EndpointLoadReport> sumLoads(const std::vector<const PeerRow*>& rows);
     void sendUsage();
+    // Sends this node's admission load, and updates the admission level from that of all nodes. `seconds` have passed since the last call.
+    void updateAdmission(SteadyTime now, double seconds);
+    AdmissionView admissionView(SteadyTime now) const;
+    void reportAdmission();
     PeerRow ownRow();
     VersionUpdate ownVersionUpdate() const;
 
@@ -127,6 +132,7 @@
     AsyncHttpServer readiness;
     std::uint64_t lifetime;
     EntryLimits limits;
+    RelayedSum<AdmissionLoad> admissionSum;
     // Wall clock minus steady clock in milliseconds, read at the start only, so that later clock steps have no effect.
     std::int64_t ownClockDifference;
     SteadyTime startedAt { steadyNow() };
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -125,6 +125,8 @@
         co_return co_await respond(*refusal);
     if (auto refusal = admit())
         co_return co_await respond(*refusal);
+    if (auto refusal = checkAdmissionLevel())
+        co_return co_await respond(*refusal);
     auto endpoints = m_context.view.endpoints();
     m_endpointsRevision = endpoints ? endpoints->revision : 0;
     m_context.applyEndpointList(endpoints, *m_configuration, steadyNow());
@@ -190,6 +192,7 @@
     refundTeam();
     recordChoice(chosen);
     m_context.demand.onRefused(m_service->name);
+    recordRefusedByEndpoint();
     auto untilCapacity = std::chrono::duration<double>(chosen.leastWaitSeconds);
     if (m_service->scaling)
         untilCapacity = std::max<std::chrono::duration<double>>(untilCapacity, m_service->scaling->bootTime / 2);
@@ -267,6 +270,7 @@
         recordVersionOutcome(*chosen, outcome);
         if (outcome == AttemptOutcome::Delivered) {
             recordSlotTime(*chosen);
+            recordServed();
             co_return ExchangeResult::Answered;
         }
         auto acquireRetry = [this] { return m_context.suspects.isRetryAllowed(digest(), steadyNow()) && m_context.retries.take(m_service->name); };
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -46,6 +46,15 @@
     std::optional<LocalResponse> findTeam();
     std::optional<LocalResponse> checkSuspects();
     std::optional<LocalResponse> admit();
+    // Refuses the request if its service is short of capacity, as far as the level that all nodes share requires.
+    std::optional<LocalResponse> checkAdmissionLevel();
+    // The group whose demand and chance of admission the request belongs to.
+    AdmissionGroup admissionGroup();
+    // Engine time (streams) or slot time (plain requests) that the request is expected to take.
+    double expectedWork() const;
+    // Records that a stream has begun or a plain request was answered, for the shared level.
+    void recordServed();
+    void recordRefusedByEndpoint();
     // Reads prompt parts, token counts, deadline and last event id from the header fields.
     void readRequestFields();
 
@@ -138,6 +147,9 @@
     // The values behind the last choice of an endpoint, for the log.
     long m_expectedMilliseconds { -1 };
     long m_unqueuedMilliseconds { -1 };
+    double m_admissionWork { 0 }; // Result of expectedWork() at the request's arrival.
+    bool m_isServed { false }; // Whether recordServed() was called.
+    AdmissionDecision m_admission {};
     long m_uncachedTokens { 0 };
     long m_waitingTokens { 0 };
     unsigned long m_endpointsRevision { 0 };
--- a/modules/forward/exchange_notes.cpp
+++ b/modules/forward/exchange_notes.cpp
@@ -57,6 +57,7 @@
         m_context.demand.onFirstEvent(m_service->name);
     m_firstEventMilliseconds = toMilliseconds(steadyNow() - m_request.arrivedAt).count();
     m_firstEventAt = steadyNow();
+    recordServed();
     m_flight->prefilled();
     // Prefill speed is measured only if no other prompt was waiting at the endpoint, neither when it was chosen nor at the first event.
     if (m_waitingTokens == 0 && m_context.endpoints.waitingTokens(*chosen.endpoint, steadyNow()) == 0)
@@ -199,8 +200,10 @@
         endpoint.health.onFailure(steadyNow());
         return;
     case AttemptOutcome::NotRun:
-        if (HttpStatus::isRefusalStatus(m_responseStatus))
+        if (HttpStatus::isRefusalStatus(m_responseStatus)) {
             endpoint.health.onRequestRefused(steadyNow());
+            recordRefusedByEndpoint();
+        }
         return;
     case AttemptOutcome::NoConnectionLeft:
     case AttemptOutcome::Unwanted:
@@ -231,7 +234,7 @@
         { { "request_id", m_requestId }, { "digest", digest().text() }, { "route", m_route ? std::string_view(m_route->name) : std::string_view() },
             { "team", m_team ? std::string_view(m_team->name) : std::string_view() }, { "endpoint", m_lastEndpoint }, { "choice", m_choiceReason },
             { "expected_ms", m_expectedMilliseconds }, { "unqueued_ms", m_unqueuedMilliseconds }, { "uncached_tokens", m_uncachedTokens }, { "waiting_tokens", m_waitingTokens }, { "endpoints_revision", m_endpointsRevision },
-            { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_requestedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "tries", m_attemptTracker.attempts() }, { "status", status }, { "outcome", outcome }, { "objective_ms", m_route ? m_route->objective.count() : 0L },
+            { "configuration", m_configuration ? m_configuration->version() : 0UL }, { "tokens", m_requestedTokens }, { "limit_per_s", m_team ? static_cast<long>(m_team->ratePerSecond) : 0L }, { "priority", m_route ? priority() : -1 }, { "admission_chance", m_admission.chance }, { "level_priority", m_admission.level.priority }, { "level_chance", m_admission.level.chance }, { "tries", m_attemptTracker.attempts() }, { "status", status }, { "outcome", outcome }, { "objective_ms", m_route ? m_route->objective.count() : 0L },
             { "ms", toMilliseconds(now - m_request.arrivedAt).count() }, { "first_event_ms", m_firstEventMilliseconds }, { "events", m_events.events() }, { "left_ms", m_route ? timeLeft().count() : 0L } });
 }
 
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -4,6 +4,7 @@
 
 #include "core/log.h"
 #include "core/metrics.h"
+#include "modules/admission/shared_admission.h"
 #include "modules/balance/endpoint_book.h"
 #include "modules/forward/demand_meter.h"
 #include "modules/forward/wire_names.h"
@@ -42,6 +43,7 @@
     Milliseconds longPrefillThreshold { 40 };
     unsigned usageWindowMilliseconds { 5000 };
     SuspectOptions suspects {};
+    bool sharedAdmission { true }; // Whether requests are refused by the level that all nodes share, while their service is short of capacity.
     bool rollouts { false }; // Whether operators run rollouts, so that a new version may be a canary.
 };
 
@@ -153,6 +155,8 @@
     UsageLedger usage;
     SuspectTracker suspects;
     DemandMeter demand {};
+    AdmissionMeter admissionMeter {};
+    SharedAdmission admission {};
     VersionGate versions {};
     AnswerTimeMonitor pace {};
     // Log lines per second for successful and for failed requests: a line for every request would cost too much processor time.
--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -86,6 +86,8 @@
     case MessageType::CreditAnswer:
     case MessageType::CreditReturn:
         return handleCreditMessage(frame);
+    case MessageType::AdmissionLoad:
+        return handleAdmissionLoad(frame);
     case MessageType::ZoneAggregate:
     case MessageType::FleetAggregate:
         return handleAggregate(frame);
@@ -150,6 +152,15 @@
     return success();
 }
 
+Status PeerExchange::handleAdmissionLoad(const Frame& frame)
+{
+    BOOST_OUTCOME_TRY(update, unpackMessage<SumUpdate<AdmissionLoad>>(frame.type, frame));
+    if (!update.isSound())
+        return Error { ErrorCode::InvalidArgument, "admission load with values out of range" };
+    m_receivers.admissionLoad(update);
+    return success();
+}
+
 Address PeerExchange::sender() const { return { .host = m_sender.address().to_string(), .port = m_sender.port() }; }
 
 void PeerExchange::addContact(const PeerContact& contact) { m_table.addContact(contact, steadyNow()); }
--- a/modules/peers/peer_exchange.h
+++ b/modules/peers/peer_exchange.h
@@ -6,9 +6,11 @@
 #include "core/net/address.h"
 #include "core/net/frame.h"
 #include "core/outcome.h"
+#include "modules/admission/shared_admission.h"
 #include "modules/peers/fleet_relay.h"
 #include "modules/peers/limit_messages.h"
 #include "modules/peers/peer_table.h"
+#include "modules/peers/relayed_sum.h"
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -44,6 +46,7 @@
     std::function<void(const CreditRequest&, const Address& from)> creditAsk {};
     std::function<void(const CreditAnswer&, const Address& from)> creditAnswer {};
     std::function<void(const CreditReturn&)> creditReturn {};
+    std::function<void(const SumUpdate<AdmissionLoad>&)> admissionLoad {};
 };
 
 class PeerExchange {
@@ -94,6 +97,7 @@
     std::vector<Address> receivers();
     Status handleLimitUpdate(const Frame&);
     Status handleCreditMessage(const Frame&);
+    Status handleAdmissionLoad(const Frame&);
     Address sender() const;
     void addRandomAddresses(std::vector<PeerContact> contacts, std::size_t maximum, std::vector<Address>& addresses);
     std::vector<PeerContact> randomContacts();
--- a/modules/report/request_timeline.cpp
+++ b/modules/report/request_timeline.cpp
@@ -1,6 +1,7 @@
 #include "modules/report/request_timeline.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <map>
 #include <set>
 
@@ -13,11 +14,20 @@
     std::string textField(const LogLine& line, const char* name) { return line.fields.value(name, std::string()); }
     long numberField(const LogLine& line, const char* name) { return line.fields.value(name, 0L); }
 
+    std::string decimalField(const LogLine& line, const char* name)
+    {
+        char text[32];
+        std::snprintf(text, sizeof(text), "%.2f", line.fields.value(name, 1.0));
+        return text;
+    }
+
     // Explanations of the values of `outcome` in the log line of a request.
     const std::map<std::string, std::string>& causeSentences()
     {
         static const std::map<std::string, std::string> sentences {
             { "team_limit", "Its team was at its limit over all nodes; nothing was sent. See the team's other lines of the seconds before." },
+            { "level", "Its service was short of capacity, and its priority was admitted only in part, as all nodes had agreed; nothing was sent." },
+            { "team_share", "Its service was short of capacity, and its team asked for more than its fair share; nothing was sent." },
             { "no_route", "The configuration in force on that node has no route for its host and path." },
             { "unknown_key", "The configuration in force on that node does not know its key." },
             { "no_configuration", "The node had just started and knew no configuration yet." },
@@ -114,6 +124,9 @@
         {
             m_endLine = &line;
             add(line, "ended: " + textField(line, "outcome") + ", status " + std::to_string(numberField(line, "status")) + " after " + std::to_string(numberField(line, "ms")) + " ms; route " + textField(line, "route") + ", team " + textField(line, "team") + ", configuration " + std::to_string(numberField(line, "configuration")) + ", tries " + std::to_string(numberField(line, "tries")));
+            auto outcome = textField(line, "outcome");
+            if (outcome == "level" || outcome == "team_share")
+                m_text += "    admitted with a chance of " + decimalField(line, "admission_chance") + " at priority " + std::to_string(numberField(line, "priority")) + "; the level was priority " + std::to_string(numberField(line, "level_priority")) + " with a chance of " + decimalField(line, "level_chance") + "\n";
             if (!textField(line, "endpoint").empty())
                 m_text += "    chosen by " + textField(line, "choice") + ": expected " + std::to_string(numberField(line, "expected_ms")) + " ms, " + std::to_string(numberField(line, "uncached_tokens")) + " tokens to read, "
                     + std::to_string(numberField(line, "waiting_tokens")) + " waiting before it; first event after " + std::to_string(numberField(line, "first_event_ms")) + " ms\n";
