Test that explain states level and reason of a refusal

Cause: the sentences and the line of the level had no test. Change: one case in the tests of the request timeline.

--- a/tests/modules/report/test_request_timeline.cpp
+++ b/tests/modules/report/test_request_timeline.cpp
@@ -61,6 +61,16 @@
     BOOST_TEST(!contains(text, "i-1"));
 }
 
+// Operators must see whether a request was refused for its priority or for its team's share.
+BOOST_AUTO_TEST_CASE(a_refusal_by_the_shared_level_states_level_and_reason)
+{
+    ParsedLog log;
+    parseLog(R"({"time_ms":1,"event":"request","instance":"n-1","request_id":"r-3","status":503,"outcome":"team_share","priority":2,"admission_chance":0.25,"level_priority":1,"level_chance":0.5})", log);
+    auto text = requestTimeline(log, "r-3");
+    BOOST_TEST(contains(text, "chance of 0.25 at priority 2; the level was priority 1 with a chance of 0.50"));
+    BOOST_TEST(contains(text, "more than its fair share"));
+}
+
 BOOST_AUTO_TEST_CASE(a_blocked_request_is_traced_to_the_endpoints_that_ended_under_it)
 {
     ParsedLog log;
