--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -26,11 +26,13 @@
               .creditAsk = [this](const CreditRequest& creditRequest, const Address& from) { limits.onCreditRequest(creditRequest, from); },
               .creditAnswer = [this](const CreditAnswer& answer, const Address& from) { limits.onCreditAnswer(answer, from); },
               .creditReturn = [this](const CreditReturn& returned) { limits.onCreditReturn(returned); },
-              .speeds = [this](const SumUpdate<EndpointSpeedReport>& update) { endpointSpeeds.onUpdate(update, steadyNow()); } })
+              .speeds = [this](const SumUpdate<EndpointSpeedReport>& update) { endpointSpeeds.onUpdate(update, steadyNow()); },
+              .admissionLoad = [this](const SumUpdate<AdmissionLoad>& update) { admissionSum.onUpdate(update, steadyNow()); } })
     , readiness(context, entryOptions.readiness, [this](const HttpHead&) { return answerReadiness(); })
     , lifetime(wallMilliseconds())
     , limits(context, forward, exchange, relay, { .node = entryOptions.node, .lifetime = lifetime })
     , endpointSpeeds({ .node = entryOptions.node, .lifetime = lifetime, .zone = entryOptions.zone })
+    , admissionSum({ .node = entryOptions.node, .lifetime = lifetime, .zone = entryOptions.zone })
     , ownClockDifference(static_cast<std::int64_t>(lifetime) - steadyMilliseconds())
 {
     forward.clockDifference = ownClockDifference;
@@ -99,6 +101,7 @@
     else
         exchangeDirectly(now);
     exchangeEndpointSpeeds(now);
+    updateAdmission(now, seconds);
     if (ticks % usagePeriodTicks == usagePhase)
         sendUsage();
     // New loads of the peers and a new configuration count from now on; each request that waits checks whether it may stay.
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -88,6 +88,10 @@
     // Evaluates the measured speeds and failures of endpoints over all nodes, and sends this node's.
     void exchangeEndpointSpeeds(SteadyTime now);
     void logEndpointSpeedChanges(SteadyTime now);
+    // Sends this node's admission load, and updates the admission level from that of all nodes. `seconds` have passed since the last call.
+    void updateAdmission(SteadyTime now, double seconds);
+    AdmissionView admissionView(SteadyTime now) const;
+    void reportAdmission();
     PeerRow ownRow();
     VersionUpdate ownVersionUpdate() const;
 
@@ -136,6 +140,7 @@
     EntryLimits limits;
     RelayedSum<EndpointSpeedReport> endpointSpeeds;
     LogRateLimiter endpointSpeedLines { 20 };
+    RelayedSum<AdmissionLoad> admissionSum;
     // Wall clock minus steady clock in milliseconds, read at the start only, so that later clock steps have no effect.
     std::int64_t ownClockDifference;
     SteadyTime startedAt { steadyNow() };
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -4,6 +4,7 @@
 
 #include "core/log.h"
 #include "core/metrics.h"
+#include "modules/admission/shared_admission.h"
 #include "modules/balance/endpoint_book.h"
 #include "modules/forward/demand_meter.h"
 #include "modules/forward/waiting_requests.h"
@@ -47,6 +48,7 @@
     bool endpointSpeeds { true }; // Whether endpoints are chosen by their measured speed and failures over all nodes (EndpointSpeeds).
     ReturnTurnsOptions returnTurns {};
     QueueingOptions queueing {};
+    bool sharedAdmission { true }; // Whether requests are refused by the level that all nodes share, while their service is short of capacity.
     bool rollouts { false }; // Whether operators run rollouts, so that a new version may be a canary.
 };
 
@@ -162,6 +164,8 @@
     SuspectTracker suspects;
     WaitingRequests waiting;
     DemandMeter demand {};
+    AdmissionMeter admissionMeter {};
+    SharedAdmission admission {};
     VersionGate versions {};
     AnswerTimeMonitor pace {};
     // Log lines per second for successful and for failed requests: a line for every request would cost too much processor time.
