Let returning requests use the shared level and the queue

Cause: the parts were built side by side: a request in its turn met the admission level like a newcomer, and waited behind newcomers. Change: a request in its turn passes the level where its priority is admitted with a chance of a quarter or more, goes before newcomers of its priority in the queue, and refusals by the level tell it the next turn.

--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -190,8 +190,6 @@
     void observeSlot(const std::string& service, double seconds) { m_slotTimes[service].observe(seconds); }
     // Average time that a request of the service occupies a slot; 0 before the first observation.
     double slotSeconds(const std::string& service) const;
-    // How long a request of the service usually occupies a slot; 0 before the first observation.
-    double usualSlotSeconds(const std::string& service) const { return slotSeconds(service); }
     // The endpoints of each service that may be used at present.
     std::map<std::string, ServiceCapacity> usableCapacity(SteadyTime now) const;
     // Whether estimated prompt times may be used to refuse requests: true once enough times were observed, or 2 seconds after the first
--- a/modules/forward/exchange_admission.cpp
+++ b/modules/forward/exchange_admission.cpp
@@ -18,7 +18,7 @@
     // Prompts with all parts cached take engine time as well, and before the first plain request was answered its slot time is unknown.
     constexpr double minimumSeconds = 0.001;
     if (m_promptTokens <= 0)
-        return std::max(minimumSeconds, m_context.endpoints.usualSlotSeconds(m_service->name));
+        return std::max(minimumSeconds, m_context.endpoints.slotSeconds(m_service->name));
     double uncached = m_promptTokens;
     for (std::size_t n = 0; n + 1 < m_promptParts.size(); ++n)
         uncached -= m_promptParts[n].tokens;
@@ -32,6 +32,9 @@
     const auto& service = m_service->name;
     m_admissionWork = expectedWork();
     m_admission = m_context.admission.decide(service, admissionGroup(), digest().content, m_context.fleetTimeMilliseconds(), steadyNow());
+    // A priority that is hardly admitted has no capacity for returning requests either.
+    constexpr double lowestChanceOfTurns = 0.25;
+    m_admission.isAdmitted = m_admission.isAdmitted || (m_isInTurn && m_admission.chance >= lowestChanceOfTurns);
     m_context.admissionMeter.onArrival(service, admissionGroup(), m_admissionWork, m_admission.chance);
     if (m_admission.isAdmitted) {
         m_context.admissionMeter.onAdmitted(service, m_admissionWork);
@@ -41,7 +44,8 @@
     // The scaler needs the whole demand, whether it can be served at present or not.
     m_context.demand.onRequest(service, m_promptTokens > 0 ? m_admissionWork : 0);
     m_context.demand.onRefused(service);
-    return LocalResponse { .status = HttpStatus::serviceUnavailable, .retryAfter = std::max(m_admission.retryAfter, m_context.options.retryAfter), .reason = m_admission.reason };
+    auto retryAfter = std::max(m_admission.retryAfter, m_context.options.retryAfter);
+    return LocalResponse { .status = HttpStatus::serviceUnavailable, .retryAfter = delayUntilTurn(m_admission.retryAfter, retryAfter), .reason = m_admission.reason };
 }
 
 void Exchange::recordServed()
--- a/modules/forward/exchange_queueing.cpp
+++ b/modules/forward/exchange_queueing.cpp
@@ -163,7 +163,7 @@
     if (check.state == PlaceState::NoEndpoint)
         co_return std::nullopt;
     auto now = steadyNow();
-    QueueEntry entry { .service = service, .team = teamName(), .priority = priority(), .enteredAt = now - Milliseconds(m_queuedMilliseconds), .leavesAt = now + allowedWait(check) };
+    QueueEntry entry { .service = service, .team = teamName(), .priority = priority(), .isInTurn = m_isInTurn, .enteredAt = now - Milliseconds(m_queuedMilliseconds), .leavesAt = now + allowedWait(check) };
     bool isQueueEmpty = !waiting.queue().next(service, now).has_value();
     bool isPaced = check.state == PlaceState::Unseen || check.isScarce || !isQueueEmpty;
     bool canSend = check.state != PlaceState::Full && !retriesSameEndpoints && waiting.queue().entriesBefore(entry, now) == 0;
--- a/modules/queueing/request_queue.cpp
+++ b/modules/queueing/request_queue.cpp
@@ -26,7 +26,7 @@
 
 bool RequestQueue::goesBefore(const QueueEntry& entry, const QueueEntry& other, SteadyTime now) const
 {
-    auto key = [&](const QueueEntry& it) { return std::tuple(agedPriority(it, now), relativePlaces(it), it.leavesAt, it.id); };
+    auto key = [&](const QueueEntry& it) { return std::tuple(agedPriority(it, now), !it.isInTurn, relativePlaces(it), it.leavesAt, it.id); };
     return key(entry) < key(other);
 }
 
--- a/modules/queueing/request_queue.h
+++ b/modules/queueing/request_queue.h
@@ -24,6 +24,7 @@
     std::string team {};
     double teamShare { 1 }; // Weight of the team among the teams of the service.
     int priority { 5 }; // 0 is the most urgent.
+    bool isInTurn { false }; // The request returned when it was told to, and goes before newcomers of its priority.
     SteadyTime enteredAt {};
     SteadyTime leavesAt {}; // When its allowed wait is over.
 };
