--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -57,6 +57,22 @@
                 "windowSeconds": { "type": "number", "minimum": 0.1, "default": 8, "description": "Length of the window." }
             }
         },
+        "returnTurns": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "When callers whose requests were refused for lack of capacity are told to return.",
+            "properties": {
+                "enabled": { "type": "boolean", "default": true, "description": "Whether they return in turns that all nodes calculate alike, while a service is short of capacity. Off, each node estimates the time on its own." }
+            }
+        },
+        "queueing": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "Requests that wait for a free place at an endpoint instead of being refused.",
+            "properties": {
+                "enabled": { "type": "boolean", "default": true, "description": "Whether requests wait at all." },
+                "maximumEntries": { "type": "integer", "minimum": 1, "default": 256, "description": "Requests that may wait at one node." },
+                "maximumWaitShare": { "type": "number", "minimum": 0, "maximum": 1, "default": 0.5, "description": "Longest wait, as a part of the objective of the route." }
+            }
+        },
         "rollouts": {
             "type": "object", "additionalProperties": false, "default": {},
             "description": "What a new version of a service may get before it is known to be good. Without it, all versions are used alike and no roll-out is carried out.",
@@ -80,6 +96,13 @@
                 "enabled": { "type": "boolean", "default": true, "description": "Whether endpoints are chosen by it. Off, all endpoints of a service count as equally fast, and each node finds failing ones by itself." }
             }
         },
+        "sharedAdmission": {
+            "type": "object", "additionalProperties": false, "default": {},
+            "description": "What all nodes together admit while a service is short of capacity: more urgent requests first, and fair shares of teams.",
+            "properties": {
+                "enabled": { "type": "boolean", "default": true, "description": "Off, each node admits what it expects to be on time." }
+            }
+        },
         "relays": { "type": "boolean", "default": true, "description": "Whether the nodes of a large fleet hear of each other by relays of their zones. Off, each tells as many others as it can." },
         "everyNodeUpTo": { "type": "integer", "minimum": 1, "default": 16, "description": "Up to so many nodes each one tells every other, and follows the store itself. A larger fleet uses relays." },
         "graceSeconds": { "type": "number", "minimum": 0.5, "default": 8, "description": "Time from the stop signal to the kill." },
@@ -145,6 +168,8 @@
         entry.retries = { .perRequest = document["retries"]["perRequest"], .reserve = document["retries"]["reserve"] };
         const auto& teamLimits = document["teamLimits"];
         entry.teamLimitTolerance = { .overshoot = teamLimits["overshoot"], .slackTokens = teamLimits["slackTokens"], .window = millisecondsFromSeconds(teamLimits["windowSeconds"]) };
+        const auto& queueing = document["queueing"];
+        entry.forward.queueing = { .enabled = queueing["enabled"], .maximumEntries = queueing["maximumEntries"], .maximumWaitShare = queueing["maximumWaitShare"] };
         auto& rollouts = entry.rollouts;
         rollouts.plan.canaryShare = document["rollouts"]["canaryShare"];
         rollouts.plan.canarySlack = document["rollouts"]["canarySlack"];
@@ -152,6 +177,8 @@
         entry.forward.rollouts = rollouts.enabled;
         entry.forward.suspects = { .node = entry.node, .livesUntilBlocked = document["suspects"]["livesUntilBlocked"], .blockedFor = millisecondsFromSeconds(document["suspects"]["blockedSeconds"]) };
         entry.forward.endpointSpeeds = document["endpointSpeeds"]["enabled"];
+        entry.forward.returnTurns.enabled = document["returnTurns"]["enabled"];
+        entry.forward.sharedAdmission = document["sharedAdmission"]["enabled"];
         entry.relays = document["relays"];
         entry.watching.everyNodeUpTo = document["everyNodeUpTo"];
         entry.grace = millisecondsFromSeconds(document["graceSeconds"]);
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -59,6 +59,10 @@
     double pauseObjectiveSeconds { 0 }; // The route's target time between two events; 0 for no target.
     std::vector<std::string> excluded {}; // Ids of endpoints that the request was already sent to, or for which it got no credit.
     bool skipsEndpointsWithoutCredit { false }; // Leave out endpoints that have no credit at present.
+    bool needsFreeSlot { false }; // Leave out endpoints whose slots are all in use according to the view.
+    // If not 0, selects one of the endpoints at random, by their free slots (needsFreeSlot) or by all their slots: in a shortage, all nodes
+    // would otherwise send to the same endpoint, the one with the fewest requests in their views.
+    std::uint64_t spreadBy { 0 };
     VersionLimits versions {};
 };
 
@@ -75,6 +79,23 @@
     std::string_view reason {};
 };
 
+// Slots of the endpoints that a request may go to, as the view shows them.
+struct EndpointSlots {
+    double total { 0 };
+    double free { 0 };
+    double own { 0 }; // In use by this node's requests.
+    unsigned endpoints { 0 };
+};
+
+// Endpoints of one service that may be used.
+struct ServiceCapacity {
+    unsigned endpoints { 0 };
+    double slots { 0 };
+    double inFlight { 0 }; // Requests of all nodes at these endpoints.
+
+    bool operator==(const ServiceCapacity&) const = default;
+};
+
 class EndpointBook {
 public:
     explicit EndpointBook(std::string zone);
@@ -119,6 +140,8 @@
     std::optional<SteadyTime> earliestAvailable(const EndpointRequest&, SteadyTime now) const;
     // Chooses an endpoint; empty if the service has none that may be used. Changes no state: call noteSent() when the request is sent.
     std::optional<ChosenEndpoint> choose(const EndpointRequest&, SteadyTime now) const;
+    // Sums the slots of the endpoints that are eligible for the request and not in a backoff.
+    EndpointSlots slots(const EndpointRequest&, SteadyTime now) const;
     // Records that the request is sent to the endpoint, which is then expected to have the prompt's parts in its prefix cache.
     void noteSent(const EndpointRequest&, EndpointState&, SteadyTime now);
 
@@ -150,6 +173,7 @@
 
     // Sets the typical age of the load reports of other nodes.
     void setPeerLoadAge(Milliseconds age) { m_options.staleSeconds = std::chrono::duration<double>(age).count(); }
+    SteadyTime::duration peerLoadAge() const { return std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(m_options.staleSeconds)); }
     // Records the time to first event of a request that found no other prompt waiting at its endpoint.
     void observeFirstEvent(double uncachedTokens, double seconds);
     // As above, and learns the endpoint's speed from it. The model for all endpoints gets the time without the endpoint's ratio.
@@ -164,6 +188,10 @@
     const EndpointState* findByShortName(ShortName) const;
     // Records how long a request that found a free slot occupied it.
     void observeSlot(const std::string& service, double seconds) { m_slotTimes[service].observe(seconds); }
+    // Average time that a request of the service occupies a slot; 0 before the first observation.
+    double slotSeconds(const std::string& service) const;
+    // The endpoints of each service that may be used at present.
+    std::map<std::string, ServiceCapacity> usableCapacity(SteadyTime now) const;
     // Whether estimated prompt times may be used to refuse requests: true once enough times were observed, or 2 seconds after the first
     // prompt was sent. If requests that find no other prompt waiting are still too rare by then, the endpoints are overloaded and an
     // inaccurate estimate is better than none: refusals based on it let other requests find nothing waiting, whose times correct the
@@ -181,7 +209,6 @@
     void mark(const EndpointIncarnation&, bool isFoundLocally, SteadyTime now);
     void removeExpiredMarks(SteadyTime now);
     double memoryTokens(const std::string& service) const;
-    double slotSeconds(const std::string& service) const;
     // Expected time between events of a stream that is sent to the endpoint now; 0 as long as it is not known.
     double expectedPauseSeconds(const EndpointState&, SteadyTime now) const;
     // Whether the endpoint is not leaving and runs a version that the request may go to.
@@ -191,6 +218,7 @@
     // Whether the list contains this incarnation and does not show it as leaving.
     bool isListedAndNotLeaving(const EndpointIncarnation&) const;
     bool shouldSendMark(const EndpointIncarnation&, const LeavingMark&, SteadyTime now) const;
+    static void keepOneBySlots(std::vector<std::shared_ptr<EndpointState>>&, const EndpointRequest&);
     // Reduces the endpoints to those with the version that the request should go to, if there are any.
     static void keepOnlyWantedVersion(std::vector<std::shared_ptr<EndpointState>>&, const VersionLimits&);
 
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -26,11 +26,13 @@
               .creditAsk = [this](const CreditRequest& creditRequest, const Address& from) { limits.onCreditRequest(creditRequest, from); },
               .creditAnswer = [this](const CreditAnswer& answer, const Address& from) { limits.onCreditAnswer(answer, from); },
               .creditReturn = [this](const CreditReturn& returned) { limits.onCreditReturn(returned); },
-              .speeds = [this](const SumUpdate<EndpointSpeedReport>& update) { endpointSpeeds.onUpdate(update, steadyNow()); } })
+              .speeds = [this](const SumUpdate<EndpointSpeedReport>& update) { endpointSpeeds.onUpdate(update, steadyNow()); },
+              .admissionLoad = [this](const SumUpdate<AdmissionLoad>& update) { admissionSum.onUpdate(update, steadyNow()); } })
     , readiness(context, entryOptions.readiness, [this](const HttpHead&) { return answerReadiness(); })
     , lifetime(wallMilliseconds())
     , limits(context, forward, exchange, relay, { .node = entryOptions.node, .lifetime = lifetime })
     , endpointSpeeds({ .node = entryOptions.node, .lifetime = lifetime, .zone = entryOptions.zone })
+    , admissionSum({ .node = entryOptions.node, .lifetime = lifetime, .zone = entryOptions.zone })
     , ownClockDifference(static_cast<std::int64_t>(lifetime) - steadyMilliseconds())
 {
     forward.clockDifference = ownClockDifference;
@@ -99,8 +101,11 @@
     else
         exchangeDirectly(now);
     exchangeEndpointSpeeds(now);
+    updateAdmission(now, seconds);
     if (ticks % usagePeriodTicks == usagePhase)
         sendUsage();
+    // New loads of the peers and a new configuration count from now on; each request that waits checks whether it may stay.
+    forward.waiting.wakeAll();
 }
 
 void EntryNode::RequestSide::exchangeEndpointSpeeds(SteadyTime now)
@@ -440,6 +445,11 @@
         result.usage = fleetUsage();
     for (const auto& [service, demand] : forward.demand.demand())
         result.demand[service] += demand;
+    std::map<std::string, ServiceRates> rates;
+    for (const auto& [service, demand] : result.demand)
+        rates[service] = { .requestsPerSecond = demand.requestsPerSecond, .refusedPerSecond = demand.refusedPerSecond };
+    forward.returnTurns.setRates(rates, result.fleetTimeMilliseconds);
+    forward.waiting.setDemand(forward.demand.demand(), result.demand);
 }
 
 asio::awaitable<void> EntryNode::RequestSide::drain()
@@ -451,6 +461,9 @@
     auto end = began + options.grace - options.graceMargin;
     while (steadyNow() < end) {
         co_await sleepFor(context, detail::drainPollInterval);
+        // Leaves time to write the refusals of the requests that still wait.
+        if (!forward.waiting.isStopped() && end - steadyNow() < 4 * detail::drainPollInterval)
+            forward.waiting.stop();
         if (steadyNow() < noticedAt)
             continue;
         // A load balancer with too few other nodes still sends clients here. Refusing them is better than cutting their requests at the
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -47,6 +47,15 @@
     std::optional<LocalResponse> findTeam();
     std::optional<LocalResponse> checkSuspects();
     std::optional<LocalResponse> admit();
+    // Refuses the request if its service is short of capacity, as far as the level that all nodes share requires.
+    std::optional<LocalResponse> checkAdmissionLevel();
+    // The group whose demand and chance of admission the request belongs to.
+    AdmissionGroup admissionGroup();
+    // Engine time (streams) or slot time (plain requests) that the request is expected to take.
+    double expectedWork() const;
+    // Records that a stream has begun or a plain request was answered, for the shared level.
+    void recordServed();
+    void recordRefusedByEndpoint();
     // Reads prompt parts, token counts, deadline and last event id from the header fields.
     void readRequestFields();
 
@@ -81,6 +90,9 @@
     void writeNoticeLog(const ListedEndpoint&, const EndpointNotice&);
     LocalResponse withheldResponse();
     LocalResponse noEndpointResponse();
+    // The delay until the request's next turn, not before `earliest` has passed; `otherwise` if the service is not short over all nodes.
+    Milliseconds delayUntilTurn(Milliseconds earliest, Milliseconds otherwise);
+    void checkTurn();
     void writeAttemptLog(const EndpointState&, AttemptOutcome);
     EndpointRequest endpointRequest() const;
     VersionLimits versionLimits() const;
@@ -90,6 +102,35 @@
     bool canMeetObjective(const ChosenEndpoint&) const;
     asio::awaitable<ExchangeResult> refuseForCapacity(const ChosenEndpoint&);
 
+    // Waiting for a place, in exchange_queueing.cpp.
+    enum class PlaceState {
+        Ready, // The request can be sent.
+        Unseen, // The view shows no room, but is older than a request occupies a place: places have become free since.
+        Full, // Endpoints may be used, but none has room.
+        NoEndpoint,
+    };
+    struct PlaceCheck {
+        PlaceState state { PlaceState::NoEndpoint };
+        std::optional<ChosenEndpoint> chosen {}; // Set unless `state` is NoEndpoint.
+        bool isScarce { false }; // Few places of the plain service are free.
+    };
+    PlaceCheck checkPlace(EndpointRequest&, bool isFirst);
+    PacingInput pacingInput(const EndpointRequest&, const ChosenEndpoint&) const;
+    bool mayTakePlace(const EndpointRequest&, const PlaceCheck&);
+    double expectedQueueSeconds(const QueueEntry&, const PlaceCheck&, const EndpointRequest&) const;
+    Milliseconds allowedWait(const PlaceCheck&) const;
+    std::optional<LocalResponse> checkStay(const QueueWaiter&);
+    // Waits in the queue if the request cannot be sent now but is expected to get a place in time. Returns a response if it is refused;
+    // otherwise `request` selects the endpoints that it may go to. `wasRefused`: an endpoint has just refused it without executing it.
+    asio::awaitable<std::optional<LocalResponse>> waitForPlace(EndpointRequest& request, bool isFirst, bool wasRefused);
+    asio::awaitable<std::optional<LocalResponse>> waitInQueue(QueueWaiter&, const QueueEntry&, EndpointRequest&, bool isFirst, const LocalResponse& noPlace, bool retriesSameEndpoints);
+    bool takesPlace(EndpointRequest&, bool isFirst, bool retriesSameEndpoints);
+    asio::awaitable<ExchangeResult> refuseWaiting(LocalResponse);
+    void updateQueueGauge();
+    void takePlace();
+    void releasePlace(const EndpointRequest&, const ChosenEndpoint&);
+    std::string teamName() const;
+
     std::string requestHead(const ListedEndpoint&) const;
     std::string responseHead(const HttpHead&, std::optional<std::size_t> length) const;
     asio::awaitable<ExchangeResult> respond(LocalResponse);
@@ -134,6 +175,14 @@
     bool m_isVersionMixed { false }; // Whether the service runs several versions, so that this attempt's outcome counts in comparing them.
     long m_firstEventMilliseconds { -1 }; // From the request's arrival to the first event; -1 if there was none.
     bool m_isClientDisconnected { false };
+    // Whether the request arrived in its turn (ReturnTurns): it was refused for lack of capacity and returns when it was told, or its first
+    // attempt happens to fall into its turn. Set by run() once the request is within its team's limit, constant afterwards. It goes before
+    // newcomers of its priority and is not made to yield to more urgent ones.
+    bool m_isInTurn { false };
+    long m_retryAfterMilliseconds { -1 }; // The delay that the client was told; -1 if none.
+    QueueWaiter* m_waiter { nullptr }; // While the request waits in the queue.
+    long m_queuedMilliseconds { 0 }; // Time spent in the queue.
+    long m_queuePlace { 0 }; // Place in the queue when the request entered it; 0 if it did not.
     AttemptTracker m_attemptTracker {};
     std::optional<RequestDigest> m_digest {}; // Computed by the first call of digest().
     std::vector<std::string> m_triedEndpoints {}; // Ids of the endpoints of all attempts.
@@ -143,6 +192,9 @@
     // The values behind the last choice of an endpoint, for the log.
     long m_expectedMilliseconds { -1 };
     long m_unqueuedMilliseconds { -1 };
+    double m_admissionWork { 0 }; // Result of expectedWork() at the request's arrival.
+    bool m_isServed { false }; // Whether recordServed() was called.
+    AdmissionDecision m_admission {};
     long m_uncachedTokens { 0 };
     long m_waitingTokens { 0 };
     long m_speedPercent { 100 };
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -4,11 +4,14 @@
 
 #include "core/log.h"
 #include "core/metrics.h"
+#include "modules/admission/shared_admission.h"
 #include "modules/balance/endpoint_book.h"
 #include "modules/forward/demand_meter.h"
+#include "modules/forward/waiting_requests.h"
 #include "modules/forward/wire_names.h"
 #include "modules/limits/retry_budget.h"
 #include "modules/limits/retry_delays.h"
+#include "modules/limits/return_turns.h"
 #include "modules/limits/team_limits.h"
 #include "modules/limits/usage_ledger.h"
 #include "modules/rollout/answer_time_monitor.h"
@@ -43,6 +46,9 @@
     unsigned usageWindowMilliseconds { 5000 };
     SuspectOptions suspects {};
     bool endpointSpeeds { true }; // Whether endpoints are chosen by their measured speed and failures over all nodes (EndpointSpeeds).
+    ReturnTurnsOptions returnTurns {};
+    QueueingOptions queueing {};
+    bool sharedAdmission { true }; // Whether requests are refused by the level that all nodes share, while their service is short of capacity.
     bool rollouts { false }; // Whether operators run rollouts, so that a new version may be a canary.
 };
 
@@ -103,6 +109,7 @@
         , retries(retryOptions)
         , usage(options.usageWindowMilliseconds)
         , suspects(options.suspects)
+        , waiting(requestContext, options.queueing)
         , bodyMemory(options.maximumBufferedBodyBytes)
     {
         endpoints.speeds().setEnabled(options.endpointSpeeds);
@@ -143,6 +150,7 @@
             suspects.onIncarnationRemoved(hashOf(it), now);
         if (options.rollouts)
             versions.onList(*list, now);
+        waiting.wakeNextOfEachService();
     }
 
     asio::io_context& context;
@@ -154,7 +162,10 @@
     SharedRetryBudget retries;
     UsageLedger usage;
     SuspectTracker suspects;
+    WaitingRequests waiting;
     DemandMeter demand {};
+    AdmissionMeter admissionMeter {};
+    SharedAdmission admission {};
     VersionGate versions {};
     AnswerTimeMonitor pace {};
     // Log lines per second for successful and for failed requests: a line for every request would cost too much processor time.
@@ -175,6 +186,7 @@
     // Called when an endpoint's limit has changed: other nodes need the change at once.
     std::function<void()> notifyLimits {};
     RetryDelays returnTimes {};
+    ReturnTurns returnTurns { options.returnTurns };
     unsigned nodes { 1 }; // Nodes that share the endpoints' connections, including this one.
     std::mt19937_64 random { std::random_device {}() };
 
--- a/tests/modules/report/test_request_timeline.cpp
+++ b/tests/modules/report/test_request_timeline.cpp
@@ -61,6 +61,40 @@
     BOOST_TEST(!contains(text, "i-1"));
 }
 
+BOOST_AUTO_TEST_CASE(a_refused_request_states_its_return_time_and_turn)
+{
+    ParsedLog log;
+    parseLog(R"(
+{"time_ms":1000,"event":"request","instance":"n-1","request_id":"r-1","status":503,"outcome":"no_room","retry_after_ms":640,"in_turn":0}
+{"time_ms":1700,"event":"request","instance":"n-2","request_id":"r-2","status":200,"outcome":"streamed","retry_after_ms":-1,"in_turn":1}
+)",
+        log);
+    auto refused = requestTimeline(log, "r-1");
+    BOOST_TEST(contains(refused, "told to come back after 640 ms; had not come in its turn"));
+    auto returned = requestTimeline(log, "r-2");
+    BOOST_TEST(contains(returned, "came in its turn"));
+    BOOST_TEST(!contains(returned, "told to come back"));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_waited_shows_its_wait_and_place)
+{
+    ParsedLog log;
+    parseLog(R"({"time_ms":5200,"event":"request","instance":"n-1","request_id":"r-1","status":503,"outcome":"no_place","ms":181,"queued_ms":180,"queue_place":3})", log);
+    auto text = requestTimeline(log, "r-1");
+    BOOST_TEST(contains(text, "waited 180 ms for a place; it was number 3 in the queue"));
+    BOOST_TEST(contains(text, "Cause: No endpoint had a free place"));
+}
+
+// Operators must see whether a request was refused for its priority or for its team's share.
+BOOST_AUTO_TEST_CASE(a_refusal_by_the_shared_level_states_level_and_reason)
+{
+    ParsedLog log;
+    parseLog(R"({"time_ms":1,"event":"request","instance":"n-1","request_id":"r-3","status":503,"outcome":"team_share","priority":2,"admission_chance":0.25,"level_priority":1,"level_chance":0.5})", log);
+    auto text = requestTimeline(log, "r-3");
+    BOOST_TEST(contains(text, "chance of 0.25 at priority 2; the level was priority 1 with a chance of 0.50"));
+    BOOST_TEST(contains(text, "more than its fair share"));
+}
+
 BOOST_AUTO_TEST_CASE(a_blocked_request_is_traced_to_the_endpoints_that_ended_under_it)
 {
     ParsedLog log;
