Leave the shared admission level off unless it is asked for

Its estimate of the capacity falls whenever endpoints ask for a backoff and recovers slowly. Change: sharedAdmission.enabled is false by default.

--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -100,7 +100,7 @@
             "type": "object", "additionalProperties": false, "default": {},
             "description": "What all nodes together admit while a service is short of capacity: more urgent requests first, and fair shares of teams.",
             "properties": {
-                "enabled": { "type": "boolean", "default": true, "description": "Off, each node admits what it expects to be on time." }
+                "enabled": { "type": "boolean", "default": false, "description": "Off, each node admits what it expects to be on time." }
             }
         },
         "relays": { "type": "boolean", "default": true, "description": "Whether the nodes of a large fleet hear of each other by relays of their zones. Off, each tells as many others as it can." },
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -48,7 +48,7 @@
     bool endpointSpeeds { true }; // Whether endpoints are chosen by their measured speed and failures over all nodes (EndpointSpeeds).
     ReturnTurnsOptions returnTurns {};
     QueueingOptions queueing {};
-    bool sharedAdmission { true }; // Whether requests are refused by the level that all nodes share, while their service is short of capacity.
+    bool sharedAdmission { false }; // Whether requests are refused by the level that all nodes share, while their service is short of capacity.
     bool rollouts { false }; // Whether operators run rollouts, so that a new version may be a canary.
 };
 
