Log no queue place for a request that did not enter the queue

The place was set before the request was added, so a request that was refused because the queue was full had a place in its log line, and explain said that it had waited. The place is now set after the request has entered; 0 stands for a request that has not waited, as the member's comment says. Not covered by a test.

--- a/modules/forward/exchange_queueing.cpp
+++ b/modules/forward/exchange_queueing.cpp
@@ -185,12 +185,12 @@
             co_return std::nullopt;
         co_return noPlace;
     }
-    m_queuePlace = static_cast<long>(waiting.queue().entriesBefore(entry, now)) + 1;
     auto waiter = waiting.enter(entry, now);
     if (!waiter) {
         LocalResponse queueFull { .retryAfter = noPlace.retryAfter, .reason = "queue_full" };
         co_return queueFull;
     }
+    m_queuePlace = static_cast<long>(waiting.queue().entriesBefore(entry, now)) + 1;
     m_waiter = waiter.get();
     updateQueueGauge();
     auto refusal = co_await waitInQueue(*waiter, entry, request, isFirst, noPlace, retriesSameEndpoints);
