Make comments of queue, admission level and return turns understandable

Some comments were split over two members, used figurative words, lacked units, or did not give the reason for a constant, and many tests did not say which failure they guard against. Two test names stated the opposite of their bound (at_most_halved), and one claimed a check of waits that it does not make.

Comments now give reason and unit. Exchange::waitForPlace() and SharedAdmission::updateService() are split (includeRefusingEndpoints(), leaveQueue(), updateAverages()), without a change of behavior. Four tests are renamed; no bound is changed.

--- a/modules/admission/shared_admission.cpp
+++ b/modules/admission/shared_admission.cpp
@@ -12,6 +12,7 @@
 
     constexpr double minimumWork = 1e-6;
     constexpr float negligibleRate = 1e-4F; // Averages below this are left out of reports.
+    constexpr double minimumRepeatFactor = 1.0 / 3; // Bounds the correction for repeats, which raises what is admitted.
 
     double secondsOf(SteadyTime::duration time) { return std::chrono::duration<double>(time).count(); }
 
@@ -21,7 +22,8 @@
         return std::isfinite(value) && value >= 0 && value <= maximumRate;
     }
 
-    // Each demand less urgent than another gets what is left by it, beyond a floor for all. `demands` are ordered from the most urgent.
+    // Grants each demand the same share (`floorShare`) first, and the remaining capacity in order of urgency. `demands` are ordered from the
+    // most urgent. Returns what each demand is granted.
     std::vector<double> urgentFirst(const std::vector<double>& demands, double capacity, double floorShare)
     {
         auto total = std::accumulate(demands.begin(), demands.end(), 0.0);
@@ -86,11 +88,11 @@
         return weights;
     }
 
-    // How much of the chances by priority alone must be mixed into those by team, so that no priority has a smaller share of its requests
-    // admitted than a less urgent one. 0 if the chances by team fulfil that already.
+    // Weight (0 to 1) of the chances by priority alone, against those by team, with which no priority has a smaller share of its requests
+    // admitted than a less urgent one. 0 if the chances by team meet that already.
     double priorityMix(const std::vector<double>& sharesByTeams, const std::vector<double>& sharesByPriority)
     {
-        // Smaller differences are noise of the averages, and would mix in much where both priorities are nearly all admitted.
+        // Smaller differences are noise of the averages. If both priorities are admitted almost in full, they would result in a large weight.
         constexpr double tolerance = 0.01;
         double mix = 0;
         for (std::size_t n = 1; n < sharesByTeams.size(); ++n) {
@@ -332,37 +334,42 @@
     return isBad && isInUse && listed.slots > 0 && demand >= load.workInTime;
 }
 
-void SharedAdmission::updateService(const std::string& service, const ServiceAdmissionLoad& load, const AdmissionView& view, double seconds, unsigned nodes, SteadyTime now)
+void SharedAdmission::updateAverages(ServiceState& state, const ServiceAdmissionLoad& load, double seconds, unsigned nodes) const
 {
-    constexpr Milliseconds evidenceTime { 250 }; // Two sums in a row: one may be a coincidence.
-    auto [found, isNew] = m_services.try_emplace(service);
-    auto& state = found->second;
-    auto capacity = view.services.find(service);
-    auto listed = capacity == view.services.end() ? AdmissionCapacity {} : capacity->second;
-    auto weight = std::min(1.0, seconds / m_options.smoothingSeconds);
-    if (isNew)
-        state = { .servedInTime = load.workInTime, .listedCapacity = listed.slots, .lastBadAt = now };
     // Reports of more or fewer nodes are a change of the sum, not of what is served.
-    if (m_nodes > 0)
+    if (m_nodes > 0) {
         state.servedInTime *= static_cast<double>(nodes) / m_nodes;
-    if (m_nodes > 0)
         state.capacity *= static_cast<double>(nodes) / m_nodes;
+    }
+    auto weight = std::min(1.0, seconds / m_options.smoothingSeconds);
+    auto risingWeight = std::min(1.0, seconds / m_options.risingSmoothingSeconds);
     // Follows a rise faster than a fall: otherwise an estimate that was too low at first would be corrected only after many seconds.
-    auto servedWeight = load.workInTime > state.servedInTime ? std::min(1.0, seconds / m_options.risingSmoothingSeconds) : weight;
-    state.servedInTime += servedWeight * (load.workInTime - state.servedInTime);
+    state.servedInTime += (load.workInTime > state.servedInTime ? risingWeight : weight) * (load.workInTime - state.servedInTime);
     auto all = load.late + load.refused + load.onTime;
     state.badShare = all > 0 ? (load.late + load.refused) / all : 0;
-    auto repeatFactor = load.drawnWork > minimumWork ? std::clamp(load.admittedWork / load.drawnWork, 1.0 / 3, 1.0) : 1;
+    auto repeatFactor = load.drawnWork > minimumWork ? std::clamp(load.admittedWork / load.drawnWork, minimumRepeatFactor, 1.0) : 1;
     // As fast as the reports: a late correction would admit too much or too little after each change of the level.
-    state.repeatFactor += std::min(1.0, seconds / m_options.risingSmoothingSeconds) * (repeatFactor - state.repeatFactor);
-    state.unserved += std::min(1.0, seconds / m_options.risingSmoothingSeconds) * (load.admittedWork - load.workInTime - state.unserved);
+    state.repeatFactor += risingWeight * (repeatFactor - state.repeatFactor);
+    state.unserved += risingWeight * (load.admittedWork - load.workInTime - state.unserved);
+}
+
+void SharedAdmission::updateService(const std::string& service, const ServiceAdmissionLoad& load, const AdmissionView& view, double seconds, unsigned nodes, SteadyTime now)
+{
+    constexpr Milliseconds evidenceTime { 250 }; // A gossip period, so that two sums in a row show a shortage: one may be a coincidence.
+    auto [found, isNew] = m_services.try_emplace(service);
+    auto& state = found->second;
+    auto capacity = view.services.find(service);
+    auto listed = capacity == view.services.end() ? AdmissionCapacity {} : capacity->second;
+    if (isNew)
+        state = { .servedInTime = load.workInTime, .listedCapacity = listed.slots, .lastBadAt = now };
+    updateAverages(state, load, seconds, nodes);
     auto demand = load.demandedWork();
     bool evidence = hasEvidence(load, listed);
     if (!evidence)
         state.evidenceSince = {};
     else if (state.evidenceSince == SteadyTime {})
         state.evidenceSince = now;
-    // Follows the other nodes, since their level keeps the evidence small.
+    // Once most nodes apply a level, little is late or refused, so a node that started later would not find enough evidence itself.
     bool othersAreShort = 2 * load.shortNodes > nodes && demand > state.servedInTime * (1 + m_options.headroom);
     bool begins = (evidence && now - state.evidenceSince >= evidenceTime) || othersAreShort;
     begins = begins && !state.isShort;
@@ -387,10 +394,10 @@
 
 void SharedAdmission::updateCapacity(ServiceState& state, const ServiceAdmissionLoad& load, const AdmissionCapacity& listed, double seconds, SteadyTime now) const
 {
-    constexpr double calmShare = 0.01;
-    constexpr double minimumHeadroom = -0.03;
-    constexpr double sameShare = 0.02;
-    // Endpoints that have just gone cannot be expected to serve what they did, although the smoothed value still includes them.
+    constexpr double calmShare = 0.01; // A smaller share of late or refused requests counts as none.
+    constexpr double minimumHeadroom = -0.03; // Bounds how fast the estimate falls while much is late or refused.
+    constexpr double sameShare = 0.02; // A smaller part of the admitted work that is not served in time counts as none.
+    // The smoothed value still includes endpoints that have just left the list.
     if (state.listedCapacity > 0 && listed.slots < state.listedCapacity) {
         state.capacity *= listed.slots / state.listedCapacity;
         state.servedInTime *= listed.slots / state.listedCapacity;
@@ -415,8 +422,9 @@
     state.chances.clear();
     state.level = {};
     DemandTable table(load.demand);
-    // Repeats of refused requests are part of the demand, but never admitted before they are drawn again.
-    auto capacity = state.capacity / std::max(state.repeatFactor, 1.0 / 3);
+    // Repeats of refused requests are part of the demand, but are not admitted before they are drawn again: without the correction, less
+    // than the capacity would be admitted.
+    auto capacity = state.capacity / std::max(state.repeatFactor, minimumRepeatFactor);
     auto total = std::accumulate(table.priorityWork.begin(), table.priorityWork.end(), 0.0);
     if (total <= capacity)
         return;
--- a/modules/admission/shared_admission.h
+++ b/modules/admission/shared_admission.h
@@ -43,11 +43,11 @@
 struct ServiceAdmissionLoad {
     std::map<AdmissionGroup, AdmissionDemand> demand {};
     double workInTime { 0 }; // Work of the requests that began (streams) or were answered (plain requests) within their objective.
-    double onTime { 0 }; // Requests that began or were answered within their objective,
-    double late { 0 }; // and those that took longer.
+    double onTime { 0 }; // Requests that began or were answered within their objective.
+    double late { 0 }; // Requests that began or were answered later.
     double refused { 0 }; // Refusals by endpoints, and requests that no endpoint could serve in time.
-    double drawnWork { 0 }; // Work of each arriving request times its chance of being admitted,
-    double admittedWork { 0 }; // and of those that were admitted. Lower if refused requests are repeated before they are drawn again.
+    double drawnWork { 0 }; // Sum of the work of arriving requests, each multiplied by its chance of being admitted.
+    double admittedWork { 0 }; // Work of the admitted requests. Lower than `drawnWork` if refused requests are repeated before the next draw.
     double shortNodes { 0 }; // Number of nodes that regard the service as short.
 
     bool operator==(const ServiceAdmissionLoad&) const = default;
@@ -141,8 +141,8 @@
 };
 
 struct SharedAdmissionOptions {
-    double smoothingSeconds { 2 }; // For what endpoints serve in time, when it falls,
-    double risingSmoothingSeconds { 1 }; // and when it rises.
+    double smoothingSeconds { 2 }; // For the work that is served in time, while it falls.
+    double risingSmoothingSeconds { 1 }; // The same while it rises, and for the other averages.
     double maximumRisePerSecond { 0.1 }; // Of the capacity estimate: faster rises oscillate, since their effect is reported a second later.
     double floorShare { 0.05 }; // Share of its demand that each priority keeps.
     // Refusals by endpoints and late first events, as a share of all: below this, single slow endpoints are the likely cause.
@@ -155,8 +155,8 @@
     double calmHeadroom { 0.06 }; // Headroom if nothing was late or refused for `calmTime`.
     Milliseconds calmTime { 2000 };
     Milliseconds endsAfter { 2000 }; // The demand must be below the capacity for so long until the service is not short any more.
-    Milliseconds keepsLevelFor { 5000 }; // Of a node that is cut off,
-    Milliseconds fadesFor { 5000 }; // before its level fades to "all admitted" in this time.
+    Milliseconds keepsLevelFor { 5000 }; // For how long a node that is cut off keeps its level.
+    Milliseconds fadesFor { 5000 }; // In which time its level then fades to "all admitted".
 };
 
 class SharedAdmission {
@@ -183,9 +183,9 @@
         double servedInTime { 0 }; // Smoothed.
         double unserved { 0 }; // Admitted work less work served in time, smoothed.
         double repeatFactor { 1 }; // Admitted work divided by drawn work, smoothed.
-        double badShare { 0 };
-        double capacity { 0 };
-        double listedCapacity { 0 };
+        double badShare { 0 }; // Share of requests that were late or refused, of the last sum.
+        double capacity { 0 }; // Estimate in work a second; 0 if the service is not short.
+        double listedCapacity { 0 }; // Slots of the usable endpoints at the last update.
         bool isShort { false };
         SteadyTime enoughSince {}; // Since when the demand is below the capacity.
         SteadyTime lastBadAt {};
@@ -198,6 +198,8 @@
     };
 
     void updateService(const std::string& service, const ServiceAdmissionLoad&, const AdmissionView&, double seconds, unsigned nodes, SteadyTime now);
+    void updateAverages(ServiceState&, const ServiceAdmissionLoad&, double seconds, unsigned nodes) const;
+    // Whether this sum indicates a shortage: enough requests are late or refused while much of the capacity is in use.
     bool hasEvidence(const ServiceAdmissionLoad&, const AdmissionCapacity&) const;
     void updateCapacity(ServiceState&, const ServiceAdmissionLoad&, const AdmissionCapacity&, double seconds, SteadyTime now) const;
     void updateChances(ServiceState&, const ServiceAdmissionLoad&, const AdmissionView&) const;
--- a/modules/entry/entry_admission.cpp
+++ b/modules/entry/entry_admission.cpp
@@ -15,8 +15,8 @@
         const auto* service = configuration->findService(name);
         result.services[name] = { .slots = it.slots, .busySlots = it.inFlight, .engineSeconds = service && service->engine ? static_cast<double>(it.endpoints) : 0 };
     }
-    // A team's weight is its limit relative to the average one of the teams whose limits count the same unit.
-    std::map<bool, std::pair<double, unsigned>> limitsByUnit;
+    // A team's weight is its limit divided by the mean limit of the teams whose limits count the same unit (tokens or requests).
+    std::map<bool, std::pair<double, unsigned>> limitsByUnit; // Sum and number of the limits, by whether they count tokens.
     const auto& teams = configuration->declaration().teams;
     for (const auto& it : teams) {
         auto& [sum, count] = limitsByUnit[it.countsTokens];
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -105,8 +105,8 @@
     // Waiting for a place, in exchange_queueing.cpp.
     enum class PlaceState {
         Ready, // The request can be sent.
-        Unseen, // The view shows no room, but is older than a request occupies a place: places have become free since.
-        Full, // Endpoints may be used, but none has room.
+        Unseen, // The view shows no free place, but requests occupy a place for less time than the view is old, so some are free by now.
+        Full, // No endpoint has a free slot (plain requests) or is expected to meet the objective (streams).
         NoEndpoint,
     };
     struct PlaceCheck {
@@ -121,10 +121,14 @@
     Milliseconds allowedWait(const PlaceCheck&) const;
     std::optional<LocalResponse> checkStay(const QueueWaiter&);
     // Waits in the queue if the request cannot be sent now but is expected to get a place in time. Returns a response if it is refused;
-    // otherwise `request` selects the endpoints that it may go to. `wasRefused`: an endpoint has just refused it without executing it.
+    // otherwise `request` selects the endpoints that it may go to. `isFirst`: no attempt was made yet. `wasRefused`: an endpoint has just
+    // refused it without executing it.
     asio::awaitable<std::optional<LocalResponse>> waitForPlace(EndpointRequest& request, bool isFirst, bool wasRefused);
     asio::awaitable<std::optional<LocalResponse>> waitInQueue(QueueWaiter&, const QueueEntry&, EndpointRequest&, bool isFirst, const LocalResponse& noPlace, bool retriesSameEndpoints);
     bool takesPlace(EndpointRequest&, bool isFirst, bool retriesSameEndpoints);
+    bool includeRefusingEndpoints(EndpointRequest&);
+    // Removes the request from the queue and records how long it waited.
+    void leaveQueue(const QueueWaiter&, SteadyTime enteredAt);
     asio::awaitable<ExchangeResult> refuseWaiting(LocalResponse);
     void updateQueueGauge();
     void takePlace();
@@ -183,6 +187,9 @@
     QueueWaiter* m_waiter { nullptr }; // While the request waits in the queue.
     long m_queuedMilliseconds { 0 }; // Time spent in the queue.
     long m_queuePlace { 0 }; // Place in the queue when the request entered it; 0 if it did not.
+    double m_admissionWork { 0 }; // Result of expectedWork() at the request's arrival; 0 if the shared level is off.
+    bool m_isServed { false }; // Whether recordServed() has counted the request.
+    AdmissionDecision m_admission {};
     AttemptTracker m_attemptTracker {};
     std::optional<RequestDigest> m_digest {}; // Computed by the first call of digest().
     std::vector<std::string> m_triedEndpoints {}; // Ids of the endpoints of all attempts.
@@ -192,12 +199,9 @@
     // The values behind the last choice of an endpoint, for the log.
     long m_expectedMilliseconds { -1 };
     long m_unqueuedMilliseconds { -1 };
-    double m_admissionWork { 0 }; // Result of expectedWork() at the request's arrival.
-    bool m_isServed { false }; // Whether recordServed() was called.
-    AdmissionDecision m_admission {};
     long m_uncachedTokens { 0 };
     long m_waitingTokens { 0 };
-    long m_speedPercent { 100 };
+    long m_speedPercent { 100 }; // Expected time to the first event, relative to the service's usual one.
     unsigned long m_endpointsRevision { 0 };
     EventStream m_events {};
     PauseMeter m_pauses {};
--- a/modules/forward/exchange_admission.cpp
+++ b/modules/forward/exchange_admission.cpp
@@ -11,7 +11,7 @@
     return { .team = digest().team, .priority = static_cast<std::uint8_t>(std::clamp<int>(priority(), 0, maximumAdmissionPriority)) };
 }
 
-// The shared parts of a prompt, all but the last, are expected to be cached at the endpoint that is chosen for it. The estimate need not be
+// All parts of a prompt but the last are shared, and expected to be cached at the endpoint that is chosen for it. The estimate need not be
 // exact: demand and served work are measured by the same value.
 double Exchange::expectedWork() const
 {
@@ -32,7 +32,7 @@
     const auto& service = m_service->name;
     m_admissionWork = expectedWork();
     m_admission = m_context.admission.decide(service, admissionGroup(), digest().content, m_context.fleetTimeMilliseconds(), steadyNow());
-    // A priority that is hardly admitted has no capacity for returning requests either.
+    // Below this chance of admission, the priority has too little capacity for requests that return in their turn as well.
     constexpr double lowestChanceOfTurns = 0.25;
     m_admission.isAdmitted = m_admission.isAdmitted || (m_isInTurn && m_admission.chance >= lowestChanceOfTurns);
     m_context.admissionMeter.onArrival(service, admissionGroup(), m_admissionWork, m_admission.chance);
--- a/modules/forward/exchange_queueing.cpp
+++ b/modules/forward/exchange_queueing.cpp
@@ -8,16 +8,17 @@
 
 namespace {
 
-    // An endpoint that refuses requests while fewer than half of the service's slots are in use refuses for another reason than being full.
+    // If less than this part of the service's slots is in use, endpoints refuse for another reason than being full, and waiting for them
+    // does not help.
     constexpr double busyPart = 0.5;
 
-    // While at most this part of the slots is free, nodes choose among the endpoints at random, and
+    // If at most this part of the slots is free, endpoints are chosen at random: all nodes would choose the same one otherwise.
     constexpr double spreadFreePart = 0.5;
-    // while at most this part is free, they pace what they send even if nothing is waiting.
+    // If at most this part is free, pacing also applies while the queue is empty: all nodes would take the same places otherwise.
     constexpr double scarceFreePart = 0.25;
 
-    // Seconds after which a request is admitted although `moreUrgent` more urgent kinds get a part of the allowed wait each: the shortest
-    // wait of the service and the request's own allowed wait both get shorter as time passes. Negative if that never happens.
+    // Seconds until canBeOnTime() admits a request. It does as soon as the shortest wait of the service is at most the allowed wait divided
+    // by (1 + moreUrgent). Both get shorter by one second per second. Negative if that never happens.
     double secondsUntilAdmitted(double leastWaitSeconds, double allowedSeconds, unsigned moreUrgent)
     {
         if (leastWaitSeconds > allowedSeconds || moreUrgent == 0)
@@ -29,8 +30,8 @@
 
 std::string Exchange::teamName() const { return m_team ? m_team->name : std::string(); }
 
-// Checks whether the request can be sent now. For a plain request whose chosen endpoint is full, restricts the choice to those with a free
-// slot, if there are any.
+// Checks whether the request can be sent now. For a plain request whose chosen endpoint is full, restricts the choice to endpoints with a
+// free slot, if there are any. If few slots are free, `request` selects an endpoint at random by its slots.
 Exchange::PlaceCheck Exchange::checkPlace(EndpointRequest& request, bool isFirst)
 {
     auto now = steadyNow();
@@ -61,7 +62,8 @@
     return { .state = state, .chosen = std::move(chosen), .isScarce = isScarce };
 }
 
-// Streams of a service share the engines' time rather than slots: their places are those that engines can begin while a view is current.
+// Streams of a service share the engines' time rather than slots: a place is a prompt that an engine can begin to process within the age of
+// the view.
 PacingInput Exchange::pacingInput(const EndpointRequest& request, const ChosenEndpoint& chosen) const
 {
     auto slots = m_context.endpoints.slots(request, steadyNow());
@@ -72,7 +74,7 @@
         input.slotSeconds = m_context.endpoints.slotSeconds(m_service->name);
         return input;
     }
-    constexpr double minimumSeconds = 0.005; // So that prompts that are almost fully cached do not count as free of cost.
+    constexpr double minimumSeconds = 0.005; // A prompt that is almost fully cached would give an unlimited number of places.
     auto begun = slots.endpoints * input.viewSeconds / std::max(minimumSeconds, chosen.unqueuedSeconds);
     input.places.total = begun;
     input.places.free = begun;
@@ -86,14 +88,14 @@
     return pacer.mayTake();
 }
 
-// Expected wait in seconds until the request gets a place; negative if it is not expected to get one.
+// Expected wait in seconds until the request gets a place, from the number of entries before it; negative if it is not expected to get one.
 double Exchange::expectedQueueSeconds(const QueueEntry& entry, const PlaceCheck& check, const EndpointRequest& request) const
 {
     auto before = static_cast<double>(m_context.waiting.queue().entriesBefore(entry, steadyNow()));
     auto slots = m_context.endpoints.slots(request, steadyNow());
     auto share = m_context.waiting.share(m_service->name, m_context.nodes);
     if (m_route->kind != RequestKind::Stream) {
-        constexpr double minimumPlaces = 0.05;
+        constexpr double minimumPlaces = 0.05; // Keeps the result finite if the node's share is tiny.
         return (before + 1) * m_context.endpoints.slotSeconds(m_service->name) / std::max(minimumPlaces, slots.total * share);
     }
     const auto& chosen = *check.chosen;
@@ -116,7 +118,8 @@
     return std::min(std::chrono::floor<Milliseconds>(std::chrono::duration<double>(seconds)), timeLeft() - m_context.options.minimumTimeToSend);
 }
 
-// Why a request may not stay in the queue, whatever places are free.
+// The response if the request may not stay in the queue, regardless of free places: it was displaced, the node stops, the request is
+// suspected, or its route, service or key is no longer in the configuration.
 std::optional<Exchange::LocalResponse> Exchange::checkStay(const QueueWaiter& waiter)
 {
     if (waiter.isDisplaced)
@@ -141,6 +144,19 @@
     return std::nullopt;
 }
 
+// Lets a request that was refused by the endpoints it was sent to wait for these, if they refused because they were full. Returns false if
+// they probably refused for another reason; `request` is unchanged then.
+bool Exchange::includeRefusingEndpoints(EndpointRequest& request)
+{
+    auto tried = std::move(request.excluded);
+    request.excluded.clear();
+    auto slots = m_context.endpoints.slots(request, steadyNow());
+    bool areFull = slots.total > 0 && slots.total - slots.free >= slots.total * busyPart;
+    if (!areFull)
+        request.excluded = std::move(tried);
+    return areFull;
+}
+
 asio::awaitable<std::optional<Exchange::LocalResponse>> Exchange::waitForPlace(EndpointRequest& request, bool isFirst, bool wasRefused)
 {
     auto& waiting = m_context.waiting;
@@ -148,13 +164,9 @@
     auto check = checkPlace(request, isFirst);
     bool retriesSameEndpoints = false;
     if (wasRefused && (check.state == PlaceState::Full || check.state == PlaceState::NoEndpoint)) {
-        // No other endpoint has room, so the request waits for those that refused it, if they did because they were full.
-        auto tried = std::move(request.excluded);
-        request.excluded.clear();
-        auto slots = m_context.endpoints.slots(request, steadyNow());
-        retriesSameEndpoints = slots.total > 0 && slots.total - slots.free >= slots.total * busyPart;
+        // No other endpoint has room.
+        retriesSameEndpoints = includeRefusingEndpoints(request);
         if (!retriesSameEndpoints) {
-            request.excluded = std::move(tried);
             request.needsFreeSlot = false;
             co_return std::nullopt;
         }
@@ -194,18 +206,23 @@
     m_waiter = waiter.get();
     updateQueueGauge();
     auto refusal = co_await waitInQueue(*waiter, entry, request, isFirst, noPlace, retriesSameEndpoints);
+    leaveQueue(*waiter, now);
+    co_return refusal;
+}
+
+void Exchange::leaveQueue(const QueueWaiter& waiter, SteadyTime enteredAt)
+{
     m_waiter = nullptr;
-    waiting.leave(*waiter);
-    auto waited = std::chrono::duration<double>(steadyNow() - now);
+    m_context.waiting.leave(waiter);
+    auto waited = std::chrono::duration<double>(steadyNow() - enteredAt);
     m_queuedMilliseconds += std::chrono::duration_cast<Milliseconds>(waited).count();
     m_context.metrics.observeSeconds("onyxnotch_entry_queue_seconds", waited.count(), {});
     updateQueueGauge();
-    // There may be more places, or the request that left was the first and not able to use one.
-    waiting.wakeNext(service);
-    co_return refusal;
+    // Only the first request of the queue checks for places: there may be another place, or one that the removed request could not use.
+    m_context.waiting.wakeNext(m_service->name);
 }
 
-// Lets the first request of the queue take a place, if there is one for it.
+// Takes a place for the request, which is the first of the queue, if it can be sent and the pacing allows it.
 bool Exchange::takesPlace(EndpointRequest& request, bool isFirst, bool retriesSameEndpoints)
 {
     request = endpointRequest();
@@ -221,7 +238,7 @@
 
 asio::awaitable<std::optional<Exchange::LocalResponse>> Exchange::waitInQueue(QueueWaiter& waiter, const QueueEntry& entry, EndpointRequest& request, bool isFirst, const LocalResponse& noPlace, bool retriesSameEndpoints)
 {
-    // Wake-ups closer together than this are answered by one check.
+    // A check goes over all endpoints of the service, so wake-ups that are closer together than this cause only one.
     constexpr Milliseconds minimumCheckInterval { 10 };
     auto& waiting = m_context.waiting;
     auto lastCheck = SteadyTime {};
--- a/modules/forward/pause_meter.h
+++ b/modules/forward/pause_meter.h
@@ -1,4 +1,4 @@
-// Measures the time between the events of one stream, as means over short stretches, and the longest pause of the request.
+// Measures the time between the events of one stream, as means over short intervals, and the longest pause of the request.
 #pragma once
 
 #include "core/clock.h"
@@ -10,7 +10,7 @@
 
 class PauseMeter {
 public:
-    // Starts another attempt. The longest pause includes the time between two attempts, but no mean does.
+    // Starts another attempt. The longest pause includes the time between two attempts, since the client waits for it, but no mean does.
     void onAttempt()
     {
         m_isFirstOfAttempt = true;
@@ -35,9 +35,9 @@
     // The mean time between events since the last mean; empty until they cover 0.15 s.
     std::optional<double> takeMean()
     {
-        // A mean of several events scatters less than single pauses, and a slow spell of half a second still shows after two means.
-        constexpr double stretchSeconds = 0.15;
-        if (m_seconds < stretchSeconds || m_events == 0)
+        // Single pauses vary too much. Shorter than half of the shortest slowdown that matters (0.5 s), so that two means detect it.
+        constexpr double intervalSeconds = 0.15;
+        if (m_seconds < intervalSeconds || m_events == 0)
             return std::nullopt;
         auto mean = m_seconds / static_cast<double>(m_events);
         m_seconds = 0;
@@ -50,6 +50,7 @@
 private:
     SteadyTime m_lastAt {}; // When the last events were received.
     bool m_isFirstOfAttempt { true };
+    // Since the last mean.
     double m_seconds { 0 };
     std::uint64_t m_events { 0 };
     Milliseconds m_longest { 0 };
--- a/modules/forward/waiting_requests.cpp
+++ b/modules/forward/waiting_requests.cpp
@@ -76,7 +76,7 @@
 
 double WaitingRequests::share(const std::string& service, unsigned nodes) const
 {
-    // A node whose demand has just begun does not have it in its average yet.
+    // The average of a node whose demand has just begun is still too low.
     constexpr double leastPartOfEvenShare = 0.25;
     auto even = 1.0 / std::max(1U, nodes);
     auto known = m_shares.find(service);
--- a/modules/forward/waiting_requests.h
+++ b/modules/forward/waiting_requests.h
@@ -14,7 +14,7 @@
     double maximumWaitShare { 0.5 }; // Longest wait as a part of the route's objective.
 };
 
-// A waiting request. The timer ends at the request's last moment in the queue and is canceled earlier to let it check again.
+// A waiting request. The timer expires when the request must leave the queue or may take a place, and is canceled to let it check earlier.
 struct QueueWaiter {
     explicit QueueWaiter(asio::io_context& context)
         : timer(context)
--- a/modules/limits/return_turns.cpp
+++ b/modules/limits/return_turns.cpp
@@ -45,7 +45,7 @@
 
 void ReturnTurns::setRates(const std::map<std::string, ServiceRates>& rates, std::uint64_t now)
 {
-    constexpr double minimumServedPerSecond = 0.01; // With no endpoint left the ratio stays finite; the period is at its maximum then.
+    constexpr double minimumServedPerSecond = 0.01; // Keeps the ratio finite if nothing is served; the period is at its maximum then.
     if (!m_options.enabled)
         return;
     std::erase_if(m_services, [&](const auto& it) { return !rates.contains(it.first); });
--- a/modules/limits/return_turns.h
+++ b/modules/limits/return_turns.h
@@ -34,10 +34,10 @@
     // Nodes whose sums differ by up to this factor accept each other's turns.
     double rateTolerance { 1.25 };
     // For how long a turn that was calculated with a shorter period stays valid: callers with up to 6 s left return within this time.
-    // A longer memory leaves turns valid that only callers find who repeat early.
+    // With a longer time, callers that repeat early would find more valid turns.
     Milliseconds periodMemory { 2000 };
     // Bounds of the accepted requests and of the told times that this node remembers, some 100 bytes each. Accepted requests expire after
-    // a turn (0.2 s), so the bound is reached beyond 20,000 a second.
+    // a turn (0.2 s), so their bound is reached only at more than 20,000 accepted requests a second.
     std::size_t maximumAccepted { 4096 };
     std::size_t maximumTold { 4096 };
 };
@@ -65,7 +65,8 @@
     void setRates(const std::map<std::string, ServiceRates>&, std::uint64_t now);
 
     // Returns the request's first turn that starts at `earliest` or later and has the caller return by `latest`. If there is none, returns
-    // `latest`, but not less than `earliest`, without a turn. Returns nullopt if the service is not short of capacity. Remembers the result for isEarly().
+    // `latest`, but not less than `earliest`, without a turn. Returns nullopt if the service is not short of capacity. Remembers the result
+    // for isEarly().
     std::optional<ReturnTime> nextTurn(const std::string& service, const RequestDigest&, std::uint64_t earliest, std::uint64_t latest, std::uint64_t now);
 
     // Whether a request that arrives now is in its turn. Accepts a digest once in each turn, so that a caller that repeats its request
--- a/modules/queueing/request_queue.cpp
+++ b/modules/queueing/request_queue.cpp
@@ -6,7 +6,8 @@
 
 namespace Onyxnotch {
 
-// A step of priority for each part of the allowed wait that has passed; not bounded below, so that the oldest entry is served at last.
+// Lower by one for each part of the allowed wait that has passed. May become negative: otherwise new entries of priority 0 would go before
+// old ones without end.
 double RequestQueue::agedPriority(const QueueEntry& entry, SteadyTime now) const
 {
     auto allowed = std::chrono::duration<double>(entry.leavesAt - entry.enteredAt).count();
--- a/modules/queueing/request_queue.h
+++ b/modules/queueing/request_queue.h
@@ -91,17 +91,17 @@
     void onTaken();
     // The endpoint refused the request, so the place was not there.
     void onRefused();
-    // A request of this node has released a place, which only this node knows so far. It keeps the place to the extent that it holds no
-    // more than its share.
+    // A request of this node has released a place, which only this node knows so far. The node may take it again, but only a part of it if
+    // it held more than its share.
     void onReleased(const PacingInput&);
-    // Time until the node may take a place, as of the last update; empty if it never may.
+    // Time until the node may take a place, as of the last update; empty if its share of the free places is 0.
     std::optional<Milliseconds> untilMayTake() const;
     // Whether a place may be taken that the view does not show as free.
     static bool mayTakeUnseen(const PacingInput&);
 
 private:
-    double m_allowance { 1 };
-    double m_perSecond { 0 };
+    double m_allowance { 1 }; // Places that the node may take now.
+    double m_perSecond { 0 }; // Rise of the allowance.
     bool m_isAlone { false };
     SteadyTime m_updatedAt {};
 };
--- a/tests/entry/test_request_queueing.cpp
+++ b/tests/entry/test_request_queueing.cpp
@@ -103,6 +103,7 @@
         BOOST_TEST(OneSlotSite::timeLeft(requests[n]) <= 1500 - 100 * static_cast<int>(n));
 }
 
+// Guards against requests that wait although the setting is off.
 BOOST_AUTO_TEST_CASE(without_the_setting_no_request_waits)
 {
     OneSlotSite one(false);
@@ -119,6 +120,7 @@
     BOOST_TEST(OneSlotSite::timeLeft(requests[1]) > 1300);
 }
 
+// Guards against a request that is sent, and occupies a slot, after its client has disconnected.
 BOOST_AUTO_TEST_CASE(a_client_that_leaves_takes_its_request_out_of_the_queue)
 {
     OneSlotSite one;
@@ -133,6 +135,7 @@
     BOOST_TEST((one.received() == std::set<std::string> { "first", "third" }));
 }
 
+// Guards against requests that run although no client can receive their answer.
 BOOST_AUTO_TEST_CASE(requests_in_the_queue_of_a_killed_node_reach_no_endpoint)
 {
     OneSlotSite one;
@@ -146,6 +149,7 @@
     BOOST_TEST((one.received() == std::set<std::string> { "first" }));
 }
 
+// Guards against a request that runs after its key was removed from the configuration.
 BOOST_AUTO_TEST_CASE(a_request_whose_key_is_removed_leaves_the_queue)
 {
     OneSlotSite one;
@@ -160,6 +164,7 @@
     BOOST_TEST((one.received() == std::set<std::string> { "first" }));
 }
 
+// Guards against a stop that refuses or drops waiting requests that can be served within the grace period.
 BOOST_AUTO_TEST_CASE(a_stopping_node_serves_the_requests_in_its_queue)
 {
     OneSlotSite one;
--- a/tests/modules/admission/test_shared_admission.cpp
+++ b/tests/modules/admission/test_shared_admission.cpp
@@ -1,5 +1,5 @@
-// Plays a load against a service with a fixed capacity, with several nodes that decide on their own from sums that are 0.25 or 0.8 s old,
-// and checks what callers get.
+// Simulates loads against a service with a given capacity and several nodes, which decide on their own from sums that are 0.25 or 0.8 s old.
+// Checks what callers get.
 #include "modules/admission/shared_admission.h"
 
 #include "core/digest.h"
@@ -52,8 +52,8 @@
     double refusedByLevel { 0 };
     double served { 0 }; // Work in time after `countFrom`, as a share of the capacity then.
     double variation { 0 }; // Standard deviation of admitted work by second, divided by its mean.
-    double firstRefusalAt { 0 }; // By the level,
-    double firstShortageAt { 0 }; // and by an endpoint.
+    double firstRefusalAt { 0 }; // Time of the first refusal by the level, in seconds.
+    double firstShortageAt { 0 }; // Time of the first refusal by an endpoint, in seconds.
     Counts repeating {}; // Requests of callers that repeat; each request counts once.
     Counts waiting {}; // Requests of the others.
     bool isShortAtEnd { false };
@@ -322,7 +322,7 @@
 
 BOOST_AUTO_TEST_SUITE(SharedAdmissionTests)
 
-// A deployment without a shortage must see today's path.
+// Guards against refusals by the level in deployments without a shortage.
 BOOST_AUTO_TEST_CASE(nothing_is_refused_below_the_capacity)
 {
     for (const auto& play : fleets({ .demand = [](double) { return 0.8; } })) {
@@ -346,6 +346,7 @@
     }
 }
 
+// Guards against a collapse at a high overload: late answers, unused capacity, and priorities or teams that starve.
 BOOST_AUTO_TEST_CASE(at_three_times_the_capacity_the_capacity_is_used)
 {
     for (const auto& play : fleets({ .demand = [](double) { return 3.0; } })) {
@@ -362,7 +363,7 @@
     }
 }
 
-// The level must not outlast the shortage, nor begin so late that the burst is over.
+// Guards against a level that outlasts the shortage, or begins only when the burst is over.
 BOOST_AUTO_TEST_CASE(a_burst_ends_without_an_aftermath)
 {
     auto demand = [](double now) { return now >= 5 && now < 10 ? 2 * 0.8 : 0.8; };
@@ -375,7 +376,7 @@
     }
 }
 
-// A team at several times its usual rate takes no capacity from the others.
+// Guards against a team at several times its usual rate that takes capacity from the others.
 BOOST_AUTO_TEST_CASE(a_surging_team_is_kept_to_its_share)
 {
     for (const auto& play : fleets({ .demand = [](double) { return 0.9; }, .surgingTeam = 3, .surge = 7.5 })) {
@@ -398,8 +399,8 @@
     }
 }
 
-// Without mixing in the chances by priority, the most urgent requests would have a smaller share served than the least urgent.
-BOOST_AUTO_TEST_CASE(a_team_surging_in_urgent_requests_does_not_turn_the_order_around)
+// Guards against team shares that serve a smaller share of the most urgent requests than of the least urgent.
+BOOST_AUTO_TEST_CASE(a_team_surging_in_urgent_requests_does_not_invert_the_order_of_priorities)
 {
     for (const auto& play : fleets({ .demand = [](double) { return 0.9; }, .surgingTeam = 3, .surge = 30, .urgentSurgeOnly = true })) {
         auto result = Simulation(play).run();
@@ -411,7 +412,7 @@
     }
 }
 
-// Repeats must not be drawn more often, and must not make the nodes admit less than the capacity.
+// Guards against repeats that are drawn more often, and against repeats that make the nodes admit less than the capacity.
 BOOST_AUTO_TEST_CASE(a_repeat_gains_nothing)
 {
     for (const auto& play : fleets({ .demand = [](double) { return 1.5; }, .repeatingCallers = 1.0 / 3 })) {
@@ -440,6 +441,7 @@
     BOOST_TEST(refused > 10);
 }
 
+// Guards against urgent requests that are refused, and against unused capacity, after a quarter of the endpoints has left at once.
 BOOST_AUTO_TEST_CASE(a_lost_quarter_of_the_capacity_is_shared_fairly_within_seconds)
 {
     auto capacity = [](double now) { return now >= 10 ? 0.75 : 1.0; };
@@ -454,7 +456,7 @@
     }
 }
 
-// Endpoints that fail, with most slots free, are no shortage: refusing callers would not help.
+// Guards against refusals because endpoints fail while most slots are free: refusing callers would not help.
 BOOST_AUTO_TEST_CASE(failing_endpoints_that_are_idle_are_no_shortage)
 {
     SharedAdmission admission;
@@ -466,6 +468,7 @@
     BOOST_TEST(shortNode(5).isShort("s"));
 }
 
+// Guards against a starting node that refuses without knowing the load, or that admits everything after the others apply a level.
 BOOST_AUTO_TEST_CASE(a_node_that_starts_has_no_level)
 {
     SharedAdmission admission;
@@ -480,6 +483,7 @@
     BOOST_TEST(admission.chance("s", { 2, 2 }, at(0.25)) < 1);
 }
 
+// Guards against a cut-off node that admits everything at once, or that applies an outdated level without end.
 BOOST_AUTO_TEST_CASE(a_node_that_is_cut_off_keeps_its_level_and_lets_it_fade)
 {
     auto admission = shortNode(5);
@@ -502,6 +506,7 @@
     BOOST_TEST(!admission.isShort("s"));
 }
 
+// Guards against teams below their share that get less than they demand, and against ignored weights.
 BOOST_AUTO_TEST_CASE(shares_are_max_min_fair_and_weighted)
 {
     auto shares = fairShares({ 10, 100, 100 }, { 1, 1, 2 }, 100);
@@ -511,6 +516,7 @@
     BOOST_TEST(fairShares({ 10, 10 }, { 1, 1 }, 100)[1] == 10);
 }
 
+// Guards against reports that do not fit into a datagram, and against values of a peer that would spoil the sum.
 BOOST_AUTO_TEST_CASE(a_report_is_bounded_and_bad_values_are_refused)
 {
     AdmissionLoad load;
@@ -547,6 +553,7 @@
     BOOST_TEST(!one.isSound());
 }
 
+// Guards against missing or repeated log lines about the level.
 BOOST_AUTO_TEST_CASE(changes_are_reported_once)
 {
     auto admission = shortNode(5);
--- a/tests/modules/limits/test_return_turns.cpp
+++ b/tests/modules/limits/test_return_turns.cpp
@@ -45,7 +45,7 @@
     std::size_t remembered { 0 }; // Highest number of entries of a node.
 };
 
-// Plays 18 s of a load against endpoints that start a fixed number of requests a second. Requests in their turn may use all of the
+// Simulates 18 s of a load against endpoints that start a fixed number of requests a second. Requests in their turn may use all of the
 // capacity that is free at the moment; others leave a reserve, as a request that yields to more urgent ones does. A third of
 // the callers returns after a third of the told delay each time. There is no admission level.
 class LoadSimulation {
@@ -274,6 +274,7 @@
     }
 }
 
+// Guards against another Retry-After or order of requests while no service is short, or with the setting off.
 BOOST_AUTO_TEST_CASE(a_service_that_is_not_short_has_no_turns)
 {
     auto turns = turnsWith(1000, 10);
@@ -311,6 +312,7 @@
     }
 }
 
+// Guards against return times that callers do not honor, and against returns before there is capacity.
 BOOST_AUTO_TEST_CASE(without_a_turn_in_the_span_the_caller_is_told_its_end)
 {
     auto turns = turnsWith(1000, 999);
@@ -330,6 +332,7 @@
     BOOST_TEST(turn->at == startTime + 2000);
 }
 
+// Guards against callers that lose the turn they were told because the shortage grows.
 BOOST_AUTO_TEST_CASE(turns_of_a_shorter_period_stay_valid_while_the_period_grows)
 {
     for (std::uint64_t n = 0; n < 100; ++n) {
--- a/tests/modules/queueing/test_request_queue.cpp
+++ b/tests/modules/queueing/test_request_queue.cpp
@@ -26,8 +26,8 @@
     unsigned endpoints { 6 };
     unsigned slots { 6 };
     std::int64_t slotTime { 100 }; // Mean of an exponential distribution, in milliseconds.
-    std::int64_t allowedWait { 500 };
-    std::int64_t length { 20000 };
+    std::int64_t allowedWait { 500 }; // Milliseconds.
+    std::int64_t length { 20000 }; // Milliseconds of load.
     bool isQueued { true }; // Otherwise a request is sent or refused at once.
     bool isPaced { true };
 };
@@ -45,11 +45,11 @@
     Count all {};
     unsigned sent { 0 };
     unsigned refusedByEndpoints { 0 };
-    std::int64_t longestWait { 0 };
+    std::int64_t longestWait { 0 }; // Milliseconds.
     double used { 0 }; // Part of the slots that was in use after the first 5 s.
 };
 
-// Plays the load of several nodes in steps of a millisecond. Places and order are decided as Exchange does; endpoints refuse a request when
+// Simulates the load of several nodes in steps of a millisecond. Places and order are decided as Exchange does; endpoints refuse a request when
 // their slots are in use, and a node tries a refused request again up to three times.
 class LoadRun {
 public:
@@ -279,6 +279,7 @@
 
 constexpr double tolerance = 0.02; // Two shares of some thousand requests differ by less than this by chance.
 
+// Numbers of nodes, and ages of their views in milliseconds, that the design must work with.
 constexpr Fleet fleets[] { { 1, 250 }, { 9, 250 }, { 85, 250 }, { 85, 800 } };
 
 } // namespace
@@ -307,6 +308,7 @@
     BOOST_TEST(queue.next("s", at(200)).value() == 1U);
 }
 
+// Guards against a team that gets the next place although it holds most of the node's places.
 BOOST_AUTO_TEST_CASE(the_team_with_the_fewest_places_relative_to_its_share_is_next)
 {
     RequestQueue queue;
@@ -327,6 +329,7 @@
     BOOST_TEST(queue.placesHeld("s") == 2U);
 }
 
+// Guards against an urgent request that is refused because less urgent ones fill the queue, and against a queue over its bound.
 BOOST_AUTO_TEST_CASE(a_full_queue_refuses_the_entry_that_would_be_served_last)
 {
     RequestQueue queue({ .maximumEntries = 2 });
@@ -338,6 +341,7 @@
     BOOST_TEST(!queue.find(4));
 }
 
+// Guards against entries that stay after their allowed wait.
 BOOST_AUTO_TEST_CASE(entries_whose_allowed_wait_is_over_are_expired)
 {
     RequestQueue queue;
@@ -365,7 +369,8 @@
     BOOST_TEST(taken <= 11U);
 }
 
-BOOST_AUTO_TEST_CASE(nothing_waits_where_there_is_room)
+// Guards against refusals while only three tenths of the places are needed.
+BOOST_AUTO_TEST_CASE(nearly_all_are_served_where_there_is_room)
 {
     for (auto fleet : fleets) {
         auto result = play({ .nodes = fleet.nodes, .viewAge = fleet.viewAge, .demand = 0.3 });
@@ -374,7 +379,7 @@
 }
 
 // Guards against refusals below the capacity: at most half as many as if no request waited.
-BOOST_AUTO_TEST_CASE(below_the_capacity_refusals_are_at_most_halved_by_waiting)
+BOOST_AUTO_TEST_CASE(below_the_capacity_refusals_are_at_least_halved_by_waiting)
 {
     for (auto fleet : fleets) {
         auto queued = play({ .nodes = fleet.nodes, .viewAge = fleet.viewAge, .demand = 0.8 });
@@ -407,7 +412,8 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(in_a_burst_refusals_of_urgent_requests_are_at_most_halved_by_waiting)
+// Guards against refusals of urgent requests in a burst of 5 s: at most half as many as if no request waited.
+BOOST_AUTO_TEST_CASE(in_a_burst_refusals_of_urgent_requests_are_at_least_halved_by_waiting)
 {
     for (auto fleet : fleets) {
         auto queued = play({ .nodes = fleet.nodes, .viewAge = fleet.viewAge, .demand = 0.7, .burst = 2 });
