Mend what the review of the queue and the admission level found

Cause: (1) a waiting request set its timer to the end of its wait at first, and one that was no longer the first of the queue woke nobody, so that a place could stay free until the next gossip period; (2) it was held although its service had no endpoint left; (3) requests refused for a removed key or route counted as refused for lack of capacity; (4) reports of other nodes were kept for ever where a setting is off; (5) the capacity estimate fell with each endpoint in a backoff at this node, and did not rise when endpoints returned: half of the requests were refused 40 s after a gap of 10 s (trial of the reviewer). Change: check after 10 ms and wake the next entry; refuse at once without endpoints; count only refusals for capacity; purge always; leave backoffs out of the estimate and scale it both ways. Result: the_estimate_returns_with_the_endpoints failed before (5); RequestQueues and SharedAdmissionTests pass. (1) to (4) have no test of their own.

--- a/modules/admission/shared_admission.cpp
+++ b/modules/admission/shared_admission.cpp
@@ -389,7 +389,9 @@
         else
             reportLevel(service, state, demand, now);
     }
-    state.listedCapacity = listed.slots;
+    // While no endpoint is listed, the estimate stays: it holds again when they are back.
+    if (listed.slots > 0)
+        state.listedCapacity = listed.slots;
 }
 
 void SharedAdmission::updateCapacity(ServiceState& state, const ServiceAdmissionLoad& load, const AdmissionCapacity& listed, double seconds, SteadyTime now) const
@@ -397,8 +399,8 @@
     constexpr double calmShare = 0.01; // A smaller share of late or refused requests counts as none.
     constexpr double minimumHeadroom = -0.03; // Bounds how fast the estimate falls while much is late or refused.
     constexpr double sameShare = 0.02; // A smaller part of the admitted work that is not served in time counts as none.
-    // The smoothed value still includes endpoints that have just left the list.
-    if (state.listedCapacity > 0 && listed.slots < state.listedCapacity) {
+    // The smoothed value still includes endpoints that have just left the list, and none that have just been added.
+    if (state.listedCapacity > 0 && listed.slots > 0) {
         state.capacity *= listed.slots / state.listedCapacity;
         state.servedInTime *= listed.slots / state.listedCapacity;
     }
--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -223,13 +223,14 @@
     return it == m_slotTimes.end() ? 0 : it->second.seconds();
 }
 
-std::map<std::string, ServiceCapacity> EndpointBook::usableCapacity(SteadyTime now) const
+std::map<std::string, ServiceCapacity> EndpointBook::usableCapacity() const
 {
     std::map<std::string, ServiceCapacity> capacities;
     for (const auto& [service, endpoints] : m_endpointsByService) {
         auto& sum = capacities[service];
         for (const auto& it : endpoints) {
-            if (!mayStillSend(it->listed.life(), now))
+            // A backoff concerns this node alone and ends soon: it is no loss of capacity.
+            if (!isExpectedToServe(it->listed.life()))
                 continue;
             ++sum.endpoints;
             sum.slots += it->listed.slots;
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -191,7 +191,7 @@
     // Average time that a request of the service occupies a slot; 0 before the first observation.
     double slotSeconds(const std::string& service) const;
     // The endpoints of each service that may be used at present.
-    std::map<std::string, ServiceCapacity> usableCapacity(SteadyTime now) const;
+    std::map<std::string, ServiceCapacity> usableCapacity() const;
     // Whether estimated prompt times may be used to refuse requests: true once enough times were observed, or 2 seconds after the first
     // prompt was sent. If requests that find no other prompt waiting are still too rare by then, the endpoints are overloaded and an
     // inaccurate estimate is better than none: refusals based on it let other requests find nothing waiting, whose times correct the
--- a/modules/entry/entry_admission.cpp
+++ b/modules/entry/entry_admission.cpp
@@ -5,13 +5,13 @@
 
 namespace Onyxnotch {
 
-AdmissionView EntryNode::RequestSide::admissionView(SteadyTime now) const
+AdmissionView EntryNode::RequestSide::admissionView() const
 {
     AdmissionView result;
     auto configuration = view.configuration();
     if (!configuration)
         return result;
-    for (const auto& [name, it] : forward.endpoints.usableCapacity(now)) {
+    for (const auto& [name, it] : forward.endpoints.usableCapacity()) {
         const auto* service = configuration->findService(name);
         result.services[name] = { .slots = it.slots, .busySlots = it.inFlight, .engineSeconds = service && service->engine ? static_cast<double>(it.endpoints) : 0 };
     }
@@ -32,6 +32,8 @@
 
 void EntryNode::RequestSide::updateAdmission(SteadyTime now, double seconds)
 {
+    // Nodes on which the setting is on send their reports to this one as well.
+    admissionSum.purgeExpired(now);
     if (!forward.options.sharedAdmission)
         return;
     forward.admissionMeter.tick(seconds);
@@ -42,7 +44,7 @@
     admissionSum.setOwn(std::move(own));
     sendSumUpdates(exchange, relay, usesRelays(), MessageType::AdmissionLoad, admissionSum, now);
     auto total = admissionSum.total(now);
-    forward.admission.update(total.sum, total.nodes, admissionView(now), now);
+    forward.admission.update(total.sum, total.nodes, admissionView(), now);
     reportAdmission();
 }
 
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -110,6 +110,8 @@
 
 void EntryNode::RequestSide::exchangeEndpointSpeeds(SteadyTime now)
 {
+    // Nodes on which the setting is on send their reports to this one as well.
+    endpointSpeeds.purgeExpired(now);
     if (!forward.endpoints.speeds().isEnabled())
         return;
     endpointSpeeds.setOwn(forward.endpoints.speeds().ownReport(now));
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -90,7 +90,7 @@
     void logEndpointSpeedChanges(SteadyTime now);
     // Sends this node's admission load, and updates the admission level from that of all nodes. `seconds` have passed since the last call.
     void updateAdmission(SteadyTime now, double seconds);
-    AdmissionView admissionView(SteadyTime now) const;
+    AdmissionView admissionView() const;
     void reportAdmission();
     PeerRow ownRow();
     VersionUpdate ownVersionUpdate() const;
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -125,7 +125,7 @@
     // refused it without executing it.
     asio::awaitable<std::optional<LocalResponse>> waitForPlace(EndpointRequest& request, bool isFirst, bool wasRefused);
     asio::awaitable<std::optional<LocalResponse>> waitInQueue(QueueWaiter&, const QueueEntry&, EndpointRequest&, bool isFirst, const LocalResponse& noPlace, bool retriesSameEndpoints);
-    bool takesPlace(EndpointRequest&, bool isFirst, bool retriesSameEndpoints);
+    PlaceState tryTakePlace(EndpointRequest&, bool isFirst, bool retriesSameEndpoints);
     bool includeRefusingEndpoints(EndpointRequest&);
     // Removes the request from the queue and records how long it waited.
     void leaveQueue(const QueueWaiter&, SteadyTime enteredAt);
--- a/modules/forward/exchange_queueing.cpp
+++ b/modules/forward/exchange_queueing.cpp
@@ -222,18 +222,19 @@
     m_context.waiting.wakeNext(m_service->name);
 }
 
-// Takes a place for the request, which is the first of the queue, if it can be sent and the pacing allows it.
-bool Exchange::takesPlace(EndpointRequest& request, bool isFirst, bool retriesSameEndpoints)
+// Takes a place for the request, which is the first of the queue, if it can be sent and the pacing allows it: Ready if it took one.
+Exchange::PlaceState Exchange::tryTakePlace(EndpointRequest& request, bool isFirst, bool retriesSameEndpoints)
 {
     request = endpointRequest();
     if (retriesSameEndpoints)
         request.excluded.clear();
     auto check = checkPlace(request, isFirst);
-    bool canSend = check.state == PlaceState::Ready || check.state == PlaceState::Unseen;
-    if (!canSend || !mayTakePlace(request, check))
-        return false;
+    if (check.state == PlaceState::NoEndpoint)
+        return PlaceState::NoEndpoint;
+    if (check.state == PlaceState::Full || !mayTakePlace(request, check))
+        return PlaceState::Full;
     m_context.waiting.pacer(m_service->name).onTaken();
-    return true;
+    return PlaceState::Ready;
 }
 
 asio::awaitable<std::optional<Exchange::LocalResponse>> Exchange::waitInQueue(QueueWaiter& waiter, const QueueEntry& entry, EndpointRequest& request, bool isFirst, const LocalResponse& noPlace, bool retriesSameEndpoints)
@@ -242,7 +243,7 @@
     constexpr Milliseconds minimumCheckInterval { 10 };
     auto& waiting = m_context.waiting;
     auto lastCheck = SteadyTime {};
-    auto checkAt = entry.leavesAt;
+    auto checkAt = std::min(entry.leavesAt, steadyNow() + minimumCheckInterval);
     while (true) {
         waiter.timer.expires_at(checkAt);
         asio::error_code ec;
@@ -260,11 +261,18 @@
         checkAt = entry.leavesAt;
         if (waiting.queue().next(entry.service, now) == waiter.id) {
             lastCheck = now;
-            if (takesPlace(request, isFirst, retriesSameEndpoints))
+            auto place = tryTakePlace(request, isFirst, retriesSameEndpoints);
+            if (place == PlaceState::Ready)
                 co_return std::nullopt;
+            // Endpoints that have gone do not come back within a wait.
+            if (place == PlaceState::NoEndpoint)
+                co_return noPlace;
             auto untilMayTake = waiting.pacer(entry.service).untilMayTake();
             if (untilMayTake && untilMayTake->count() > 0)
                 checkAt = std::min(entry.leavesAt, now + std::max(minimumCheckInterval, *untilMayTake));
+        } else if (!ec) {
+            // The timer was set while this request was the first. Another one is the first now, and nothing else may wake it.
+            waiting.wakeNext(entry.service);
         }
         if (isLast)
             co_return noPlace;
@@ -281,7 +289,9 @@
 asio::awaitable<ExchangeResult> Exchange::refuseWaiting(LocalResponse refusal)
 {
     refundTeam();
-    m_context.demand.onRefused(m_service->name);
+    bool isForCapacity = refusal.reason == "no_place" || refusal.reason == "queue_full";
+    if (isForCapacity)
+        m_context.demand.onRefused(m_service->name);
     co_return co_await respond(refusal);
 }
 
--- a/tests/modules/admission/test_shared_admission.cpp
+++ b/tests/modules/admission/test_shared_admission.cpp
@@ -456,6 +456,23 @@
     }
 }
 
+// Guards against a level that stays low: the estimate fell with the listed slots and did not rise when they were back, so half of the
+// requests were still refused 40 s after the endpoints had returned.
+BOOST_AUTO_TEST_CASE(the_estimate_returns_with_the_endpoints)
+{
+    auto admission = shortNode(5);
+    auto capacity = admission.capacity("s");
+    AdmissionView halfView { .services = { { "s", { .slots = 50, .busySlots = 50 } } } };
+    admission.update(shortLoad(), 9, halfView, at(5));
+    BOOST_TEST(admission.capacity("s") < 0.6 * capacity);
+    admission.update(shortLoad(), 9, fullView, at(5.25));
+    BOOST_TEST(admission.capacity("s") > 0.9 * capacity);
+    AdmissionView emptyView { .services = { { "s", {} } } };
+    admission.update(shortLoad(), 9, emptyView, at(5.5));
+    admission.update(shortLoad(), 9, fullView, at(5.75));
+    BOOST_TEST(admission.capacity("s") > 0.9 * capacity);
+}
+
 // Guards against refusals because endpoints fail while most slots are free: refusing callers would not help.
 BOOST_AUTO_TEST_CASE(failing_endpoints_that_are_idle_are_no_shortage)
 {
