Clarify comments and split long functions of speeds, turns and limits

Some comments of the endpoint speeds, return turns and team limits were ambiguous, lacked units or ran over the line length, and chooseEndpoint() and updateEjections() did several things in over 40 lines.

--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -193,6 +193,7 @@
     usable = std::move(wanted);
 }
 
+// Selects an endpoint with a probability proportional to its free slots or, without `needsFreeSlot`, to its slots.
 void EndpointBook::keepOneBySlots(std::vector<std::shared_ptr<EndpointState>>& usable, const EndpointRequest& request)
 {
     auto weight = [&](const EndpointState& it) { return std::max(0.0, it.listed.slots - (request.needsFreeSlot ? it.inFlight + it.peersInFlight : 0)); };
@@ -200,10 +201,10 @@
     for (const auto& it : usable)
         total += weight(*it);
     constexpr double selectors = 18446744073709551616.0; // Number of values of `spreadBy`.
-    auto left = total * (static_cast<double>(request.spreadBy) / selectors);
+    auto remaining = total * (static_cast<double>(request.spreadBy) / selectors);
     for (const auto& it : usable) {
-        left -= weight(*it);
-        if (left > 0)
+        remaining -= weight(*it);
+        if (remaining > 0)
             continue;
         auto kept = it;
         usable = { std::move(kept) };
@@ -278,8 +279,8 @@
             .cachedTokens = it->prefixes.cachedTokens(request.parts),
             .rank = mixHash(hashText(it->listed.id), key),
             .sameZone = it->listed.zone == m_zone,
-            .lastingSlowness = m_speeds.lastingFirstEventRatio(it->shortName),
             .slowness = m_speeds.firstEventRatio(it->shortName, now),
+            .lastingSlowness = m_speeds.lastingFirstEventRatio(it->shortName),
             .expectedPauseSeconds = request.pauseObjectiveSeconds > 0 ? expectedPauseSeconds(*it, now) : 0,
         });
     }
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -60,8 +60,8 @@
     std::vector<std::string> excluded {}; // Ids of endpoints that the request was already sent to, or for which it got no credit.
     bool skipsEndpointsWithoutCredit { false }; // Leave out endpoints that have no credit at present.
     bool needsFreeSlot { false }; // Leave out endpoints whose slots are all in use according to the view.
-    // If not 0, selects one of the endpoints at random, by their free slots (needsFreeSlot) or by all their slots: in a shortage, all nodes
-    // would otherwise send to the same endpoint, the one with the fewest requests in their views.
+    // If not 0, a random number that selects one endpoint, weighted by free slots (with `needsFreeSlot`) or by all slots: in a shortage, all
+    // nodes would otherwise send to the same endpoint, the one with the fewest requests in their views.
     std::uint64_t spreadBy { 0 };
     VersionLimits versions {};
 };
@@ -178,7 +178,7 @@
     void observeFirstEvent(double uncachedTokens, double seconds);
     // As above, and learns the endpoint's speed from it. The model for all endpoints gets the time without the endpoint's ratio.
     void observeFirstEvent(const ChosenEndpoint&, double seconds, SteadyTime now);
-    // Records a mean time between events of a stream during which no prompt was waiting at its endpoint.
+    // Records a mean time between events of a stream, measured while no prompt was waiting at its endpoint.
     void observePause(const EndpointState&, double seconds, SteadyTime now);
     EndpointSpeeds& speeds() { return m_speeds; }
     const EndpointSpeeds& speeds() const { return m_speeds; }
@@ -234,13 +234,13 @@
     bool m_readsStore { true };
     SteadyTime m_firstSentAt {}; // When the first prompt was sent to any endpoint.
     FirstEventModel m_firstEvents {};
-    // Fitted only to requests whose cached tokens are known. Where shared parts were assumed to be cached and were not, `m_firstEvents` expects
-    // longer times, and every endpoint with known cached tokens would count as fast.
+    // Fitted only to requests whose cached tokens are known. `m_firstEvents` also learns from prompts whose shared parts were wrongly assumed
+    // to be cached. It therefore expects longer times, and endpoints with known cached tokens would be measured as fast.
     FirstEventModel m_knownFirstEvents {};
     std::map<std::string, SlotTimeModel> m_slotTimes {}; // By service.
     std::map<std::string, FirstEventModel> m_pauses {}; // Times between events by number of running streams, by service.
     EndpointSpeeds m_speeds {};
-    EndpointSpeeds::ServiceMembers m_shortNames {};
+    EndpointSpeeds::ServiceMembers m_shortNames {}; // Of listed incarnations, by service.
     ChoiceOptions m_options {};
 };
 
--- a/modules/balance/endpoint_choice.cpp
+++ b/modules/balance/endpoint_choice.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-    // Of the pause objective: of the streams at an endpoint that is expected to need just the objective, half would exceed it.
+    // Largest expected pause that counts as on time, as a part of the pause objective. Of the streams at an endpoint whose expected pause
+    // equals the objective, half would exceed it.
     constexpr double pauseMargin = 0.8;
 
     // Weighted rendezvous hashing: the candidate with the highest score is the home of the prompt. Among equally fast candidates it has the
@@ -43,7 +44,7 @@
         return meanAboveZero(candidate.inFlight + 1 - slots, std::sqrt(changed)) / slots * request.slotSeconds;
     }
 
-    // Whether the candidate would be early enough with the shared parts cached, but for its speed.
+    // Whether the candidate, with the shared parts cached, is not early enough but would be at the service's usual speed.
     bool isTooSlowForHome(ChoiceCandidate candidate, const ChoiceRequest& request, const ChoiceOptions& options)
     {
         if (candidate.slowness <= 1)
@@ -55,6 +56,78 @@
         return expectedSeconds(candidate, request, options) <= request.earlyEnoughSeconds;
     }
 
+    bool isPauseTooLong(const ChoiceCandidate& candidate, const ChoiceRequest& request)
+    {
+        return request.pauseObjectiveSeconds > 0 && candidate.expectedPauseSeconds > pauseMargin * request.pauseObjectiveSeconds;
+    }
+
+    // Whether to leave out candidates whose expected pause is too long: true if there are any, and another candidate is on time.
+    bool skipsLongPauses(const std::vector<ChoiceCandidate>& candidates, const ChoiceRequest& request, const ChoiceOptions& options)
+    {
+        auto hasLongPause = [&](const ChoiceCandidate& it) { return isPauseTooLong(it, request); };
+        auto isOnTime = [&](const ChoiceCandidate& it) { return !hasLongPause(it) && expectedSeconds(it, request, options) <= request.objectiveSeconds; };
+        return std::any_of(candidates.begin(), candidates.end(), hasLongPause) && std::any_of(candidates.begin(), candidates.end(), isOnTime);
+    }
+
+    // Index of the home of the prompt. A request that its home does not get because of the home's speed goes to the next candidate in the
+    // order, not to the one with the least load: all nodes would choose the same one until they see its load, up to 0.8 s later.
+    std::size_t homeIndex(const std::vector<ChoiceCandidate>& candidates, const ChoiceRequest& request, const ChoiceOptions& options)
+    {
+        auto orderOf = [&](const ChoiceCandidate& it) { return std::tuple(!isPauseTooLong(it, request) && !isTooSlowForHome(it, request, options), homeScore(it), it.rank); };
+        std::size_t home = 0;
+        auto highestOrder = orderOf(candidates.front());
+        for (std::size_t n = 1; n < candidates.size(); ++n) {
+            auto order = orderOf(candidates[n]);
+            if (order > highestOrder) {
+                highestOrder = order;
+                home = n;
+            }
+        }
+        return home;
+    }
+
+    struct RatedCandidate {
+        EndpointChoice choice {};
+        std::uint64_t rank { 0 };
+        double orderSeconds { 0 }; // Expected time that candidates are compared by.
+        bool isEarlyEnough { false };
+    };
+
+    bool isBetter(const RatedCandidate& left, const RatedCandidate& right)
+    {
+        // A smaller difference is within the error of the estimate of cached tokens.
+        constexpr double equalTokensTolerance = 64;
+        if (left.isEarlyEnough != right.isEarlyEnough)
+            return left.isEarlyEnough;
+        if (left.isEarlyEnough && std::abs(left.choice.uncachedTokens - right.choice.uncachedTokens) > equalTokensTolerance)
+            return left.choice.uncachedTokens < right.choice.uncachedTokens;
+        if (left.orderSeconds != right.orderSeconds)
+            return left.orderSeconds < right.orderSeconds;
+        return left.rank > right.rank;
+    }
+
+    RatedCandidate rate(ChoiceCandidate candidate, std::size_t index, bool isHome, const ChoiceRequest& request, const ChoiceOptions& options)
+    {
+        if (isHome)
+            candidate.cachedTokens = std::max(candidate.cachedTokens, request.sharedTokens);
+        auto seconds = expectedSeconds(candidate, request, options);
+        // A fast endpoint may slow down briefly, so its speed does not allow a longer queue.
+        auto atUsualSpeed = candidate;
+        atUsualSpeed.slowness = 1;
+        auto secondsAtUsualSpeed = expectedSeconds(atUsualSpeed, request, options);
+        bool isEarlyEnough = (candidate.slowness < 1 ? secondsAtUsualSpeed : seconds) <= request.earlyEnoughSeconds;
+        // Candidates that are early enough are compared without their speed. Otherwise all nodes would send what does not go to homes to the
+        // fastest endpoint until they see its load, up to 0.8 s later.
+        return { .choice = { .candidate = index,
+                     .uncachedTokens = std::max(0.0, request.promptTokens - candidate.cachedTokens),
+                     .expectedSeconds = seconds,
+                     .unqueuedSeconds = unqueuedSeconds(candidate, request, options),
+                     .reason = isHome ? "home" : "least_wait" },
+            .rank = candidate.rank,
+            .orderSeconds = isEarlyEnough ? secondsAtUsualSpeed : seconds,
+            .isEarlyEnough = isEarlyEnough };
+    }
+
 } // namespace
 
 double expectedSeconds(const ChoiceCandidate& candidate, const ChoiceRequest& request, const ChoiceOptions& options)
@@ -76,65 +149,15 @@
 {
     if (candidates.empty())
         return std::nullopt;
-    auto isPauseTooLong = [&](const ChoiceCandidate& it) { return request.pauseObjectiveSeconds > 0 && it.expectedPauseSeconds > pauseMargin * request.pauseObjectiveSeconds; };
-    auto isOnTime = [&](const ChoiceCandidate& it) { return !isPauseTooLong(it) && expectedSeconds(it, request, options) <= request.objectiveSeconds; };
-    bool skipsLongPauses = std::any_of(candidates.begin(), candidates.end(), isPauseTooLong) && std::any_of(candidates.begin(), candidates.end(), isOnTime);
-    auto isSkipped = [&](const ChoiceCandidate& it) { return skipsLongPauses && isPauseTooLong(it); };
-    // What a home does not get because of its speed goes to the next one in the order, not to the endpoint with the least load: all nodes would
-    // choose the same one, until they see its load after up to 0.8 s.
-    auto homeOrder = [&](const ChoiceCandidate& it) { return std::tuple(!isPauseTooLong(it) && !isTooSlowForHome(it, request, options), homeScore(it), it.rank); };
-    auto highestRanked = candidates.begin();
-    auto highestOrder = homeOrder(*highestRanked);
-    for (auto it = candidates.begin() + 1; it != candidates.end(); ++it) {
-        auto order = homeOrder(*it);
-        if (order > highestOrder) {
-            highestOrder = order;
-            highestRanked = it;
-        }
-    }
-    struct Rated {
-        EndpointChoice choice {};
-        std::uint64_t rank { 0 };
-        double orderSeconds { 0 };
-        bool isEarlyEnough { false };
-    };
-    // A smaller difference is within the error of the estimate of cached tokens.
-    constexpr double equalTokensTolerance = 64;
-    auto isBetter = [](const Rated& left, const Rated& right) {
-        if (left.isEarlyEnough != right.isEarlyEnough)
-            return left.isEarlyEnough;
-        if (left.isEarlyEnough && std::abs(left.choice.uncachedTokens - right.choice.uncachedTokens) > equalTokensTolerance)
-            return left.choice.uncachedTokens < right.choice.uncachedTokens;
-        if (left.orderSeconds != right.orderSeconds)
-            return left.orderSeconds < right.orderSeconds;
-        return left.rank > right.rank;
-    };
-    std::optional<Rated> best;
+    bool skipsLong = skipsLongPauses(candidates, request, options);
+    auto home = homeIndex(candidates, request, options);
+    std::optional<RatedCandidate> best;
     auto leastWait = std::numeric_limits<double>::max();
-    for (auto it = candidates.begin(); it != candidates.end(); ++it) {
-        if (isSkipped(*it))
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        if (skipsLong && isPauseTooLong(candidates[n], request))
             continue;
-        auto candidate = *it;
-        if (it == highestRanked)
-            candidate.cachedTokens = std::max(candidate.cachedTokens, request.sharedTokens);
-        auto seconds = expectedSeconds(candidate, request, options);
-        auto unqueued = unqueuedSeconds(candidate, request, options);
-        leastWait = std::min(leastWait, seconds - unqueued);
-        // A fast endpoint may be slow for a moment, so its speed does not allow a longer queue.
-        auto unhurried = candidate;
-        unhurried.slowness = std::max(1.0, candidate.slowness);
-        bool isEarlyEnough = (candidate.slowness < 1 ? expectedSeconds(unhurried, request, options) : seconds) <= request.earlyEnoughSeconds;
-        // Any endpoint that is early enough will do. Ordered by speed, the fastest one would get what all nodes do not send to homes, until
-        // they see its load, which may take 0.8 s.
-        unhurried.slowness = 1;
-        Rated rated { .choice = { .candidate = static_cast<std::size_t>(it - candidates.begin()),
-                          .uncachedTokens = std::max(0.0, request.promptTokens - candidate.cachedTokens),
-                          .expectedSeconds = seconds,
-                          .unqueuedSeconds = unqueued,
-                          .reason = it == highestRanked ? "home" : "least_wait" },
-            .rank = candidate.rank,
-            .orderSeconds = isEarlyEnough && candidate.slowness != 1 ? expectedSeconds(unhurried, request, options) : seconds,
-            .isEarlyEnough = isEarlyEnough };
+        auto rated = rate(candidates[n], n, n == home, request, options);
+        leastWait = std::min(leastWait, rated.choice.expectedSeconds - rated.choice.unqueuedSeconds);
         if (!best || isBetter(rated, *best))
             best = rated;
     }
--- a/modules/balance/endpoint_choice.h
+++ b/modules/balance/endpoint_choice.h
@@ -17,8 +17,8 @@
     double cachedTokens { 0 }; // Tokens of this prompt that are expected in the endpoint's prefix cache.
     std::uint64_t rank { 0 }; // Hash of the endpoint and the prompt's prefix, so that all nodes rank the endpoints alike.
     bool sameZone { false };
-    double lastingSlowness { 1 }; // As `slowness`, without short slowdowns: alike at all nodes.
     double slowness { 1 }; // Factor on the expected times of prompts and waits, relative to the service (EndpointSpeeds).
+    double lastingSlowness { 1 }; // `slowness` without short slowdowns, so that all nodes find the same home.
     double expectedPauseSeconds { 0 }; // Expected time between two events of a stream; 0 if unknown.
 
     bool operator==(const ChoiceCandidate&) const = default;
@@ -61,8 +61,9 @@
 
 // Returns the candidate with the fewest uncached tokens among those expected to start within `earlyEnoughSeconds`; if there is none, the
 // one with the shortest expected time. The candidate with the highest rank is assumed to have the shared parts cached even if this node has
-// not sent them there, because other nodes do. Slow candidates are ranked lower, so that they are home to fewer prompts. A candidate whose expected pause exceeds the pause objective has the lowest rank, and is left
-// out if another candidate is expected to be on time. Empty if there are no candidates.
+// not sent them there, because other nodes do. Slow candidates are ranked lower, so that they are home to fewer prompts. A candidate whose
+// expected pause is too long for the pause objective is not a home if another one can be, and is left out if another candidate is expected
+// to be on time. Empty if there are no candidates.
 std::optional<EndpointChoice> chooseEndpoint(const std::vector<ChoiceCandidate>&, const ChoiceRequest&, const ChoiceOptions&);
 
 } // namespace Onyxnotch
--- a/modules/balance/endpoint_speeds.cpp
+++ b/modules/balance/endpoint_speeds.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-    constexpr Milliseconds bucketLength { 500 }; // Four of them cover the 2 s in which failures count.
-    constexpr double maximumLog = 2; // Soundness bound of a mean logarithm; above that of EndpointSpeedOptions::largestRatio.
+    constexpr Milliseconds bucketLength { 500 }; // Four buckets cover the 2 s in which failures count.
+    constexpr double maximumLog = 2; // Bound of a received mean logarithm; above the logarithm of EndpointSpeedOptions::largestRatio.
 
     double secondsOf(SteadyTime::duration time) { return std::chrono::duration<double>(time).count(); }
 
@@ -199,7 +199,7 @@
 
 void EndpointSpeeds::keepLastTotal(const EndpointSpeedReport& total, unsigned nodes, SteadyTime now)
 {
-    // With fewer than half of the nodes of the last sums, this node or its zone is probably cut off.
+    // If the sums come from fewer than half as many nodes as the last full ones, this node or its zone is probably cut off.
     auto decay = std::exp(-secondsOf(now - m_fullTotalAt) / m_options.decaySeconds);
     constexpr double lowestWeight = 0.05;
     m_total = total;
@@ -249,7 +249,7 @@
 
 void EndpointSpeeds::updateRatios(const std::vector<ShortName>& members)
 {
-    // Ratios are relative to the mean of the service: a change of the whole service belongs to the models of expected times.
+    // Ratios are relative to the mean of the service: a change of the whole service is learned by the models of expected times.
     double firstEventLogs = 0;
     double pauseLogs = 0;
     double measured = 0;
@@ -260,7 +260,7 @@
             continue;
         states.emplace_back(name, &state->second);
         auto sums = m_total.endpoints.contains(name) ? m_total.endpoints.at(name) : EndpointSpeedSums {};
-        // Pauses are measured far more often, and an engine that is slow in the one is usually slow in the other.
+        // The prior of the first-event ratio is the pause ratio: pauses are measured far more often, and both ratios usually agree.
         state->second.pauseRatio = ratioOf(sums.pauseWeight, sums.pauseLog, 1);
         state->second.firstEventRatio = ratioOf(sums.firstEventWeight, sums.firstEventLog, state->second.pauseRatio);
         firstEventLogs += std::log(state->second.firstEventRatio);
@@ -286,9 +286,9 @@
 
 void EndpointSpeeds::noticeRatio(ShortName name, State& state)
 {
-    constexpr double margin = 0.05; // A ratio at the edge of the range must not be reported again and again.
-    auto isWithin = [&](double by) {
-        auto isRatioWithin = [&](double ratio) { return ratio >= m_options.noticedBelow + by && ratio <= m_options.noticedAbove - by; };
+    constexpr double margin = 0.05; // Hysteresis, so that a ratio at the edge of the range is not reported repeatedly.
+    auto isWithin = [&](double distance) {
+        auto isRatioWithin = [&](double ratio) { return ratio >= m_options.noticedBelow + distance && ratio <= m_options.noticedAbove - distance; };
         return isRatioWithin(state.firstEventRatio) && isRatioWithin(state.pauseRatio);
     };
     if (state.isRatioNoticed) {
@@ -299,6 +299,18 @@
     }
 }
 
+bool EndpointSpeeds::isSettling(const State& state, SteadyTime now) const { return state.takenBackAt != SteadyTime {} && now - state.takenBackAt < m_options.settleTime; }
+
+bool EndpointSpeeds::isOutlier(const EndpointSpeedSums& sums, const Counts& service) const
+{
+    if (sums.requests < m_options.minimumRequests || sums.failingNodes < m_options.minimumFailingNodes)
+        return false;
+    auto fraction = static_cast<double>(sums.failures) / sums.requests;
+    auto otherRequests = service.requests - sums.requests;
+    auto othersFraction = otherRequests > 0 ? static_cast<double>(service.failures - sums.failures) / otherRequests : 0;
+    return fraction > m_options.maximumFailureFraction && fraction > m_options.outlierFactor * othersFraction;
+}
+
 void EndpointSpeeds::updateEjections(const std::vector<ShortName>& members, const EndpointSpeedReport& total, SteadyTime now)
 {
     Counts service;
@@ -314,19 +326,11 @@
     }
     for (auto name : members) {
         auto state = m_states.find(name);
-        auto it = total.endpoints.find(name);
-        if (it == total.endpoints.end() || state == m_states.end() || state->second.isEjected || (state->second.takenBackAt != SteadyTime {} && now - state->second.takenBackAt < m_options.settleTime))
-            continue;
-        const auto& sums = it->second;
-        if (sums.requests < m_options.minimumRequests || sums.failingNodes < m_options.minimumFailingNodes)
-            continue;
-        auto fraction = static_cast<double>(sums.failures) / sums.requests;
-        auto otherRequests = service.requests - sums.requests;
-        auto othersFraction = otherRequests > 0 ? static_cast<double>(service.failures - sums.failures) / otherRequests : 0;
-        if (fraction > m_options.maximumFailureFraction && fraction > m_options.outlierFactor * othersFraction)
-            outliers.emplace_back(fraction, name);
+        auto sums = total.endpoints.find(name);
+        if (sums != total.endpoints.end() && state != m_states.end() && !state->second.isEjected && !isSettling(state->second, now) && isOutlier(sums->second, service))
+            outliers.emplace_back(static_cast<double>(sums->second.failures) / sums->second.requests, name);
     }
-    // Sorted, so that all nodes eject the same ones if there are more than may be ejected.
+    // Sorted, so that all nodes eject the same endpoints if there are more outliers than may be ejected.
     std::sort(outliers.rbegin(), outliers.rend());
     for (const auto& [fraction, name] : outliers) {
         if ((ejectedCount + 1) * m_options.ejectableDivisor > members.size())
--- a/modules/balance/endpoint_speeds.h
+++ b/modules/balance/endpoint_speeds.h
@@ -21,7 +21,7 @@
     std::int16_t firstEventLog { 0 }; // Weighted mean logarithm of measured to expected time, in units of 1 / `unitsPerLog`.
     std::uint16_t pauseWeight { 0 };
     std::int16_t pauseLog { 0 };
-    std::uint16_t requests { 0 }; // That ended within the last 2 s.
+    std::uint16_t requests { 0 }; // Requests that ended within the last 2 s.
     std::uint16_t failures { 0 }; // Among `requests`.
     std::uint16_t failingNodes { 0 }; // Nodes that saw any of `failures`.
 
@@ -56,17 +56,19 @@
     bool enabled { true };
     double decaySeconds { 10 }; // Time in which the weight of an observation falls by the factor e.
     double priorWeight { 4 }; // Observations with a ratio of 1 that are assumed for each endpoint, so that a few change little.
-    double pauseWeight { 0.25 }; // Weight of one pause observation: those of a stream follow each other and are not independent.
-    double smallestRatio { 0.2 }; // Bounds of each observation and of the result: a greater difference is not one of speed.
+    double pauseWeight { 0.25 }; // Weight of one pause observation; less than 1, as observations of the same stream are correlated.
+    // Bounds of each observation and of the result: a greater difference has causes other than speed.
+    double smallestRatio { 0.2 };
     double largestRatio { 5 };
-    // Ratios are rounded to powers of this factor. Among endpoints that are about equally fast, all nodes would otherwise send what they do
-    // not send to its home to the one that is measured to be the fastest, until they see its load after up to 0.8 s.
+    // Ratios are rounded to powers of this factor. Otherwise, among endpoints that are about equally fast, all nodes would send the requests
+    // that do not go to homes to the one measured as fastest, until they see its load after up to 0.8 s.
     double ratioStep { 1.4 };
-    double fastShare { 0.5 }; // Share of each new observation in the fast value.
-    unsigned fastObservations { 2 }; // From so many observations in a row on the fast value is used.
-    double fastThreshold { 1.5 }; // A fast value below it is within the scatter of single observations.
+    // The fast value is an average of this node's last observations, to detect slowdowns of a second or less.
+    double fastShare { 0.5 }; // Weight of each new observation in the fast value.
+    unsigned fastObservations { 2 }; // Minimum number of observations for the fast value to be used, each within `fastExpiry` of the last.
+    double fastThreshold { 1.5 }; // Smaller fast values are ignored: single observations scatter that much.
     Milliseconds fastExpiry { 1000 };
-    // Of an endpoint's requests; plain services fail up to 14% of requests normally (EndpointHealthOptions).
+    // An endpoint that fails a larger part of its requests may be ejected. Plain services normally fail up to 14% (EndpointHealthOptions).
     double maximumFailureFraction { 0.3 };
     // An endpoint is an outlier only if it also fails this many times as often as the others of its service together: when all are
     // overloaded and refuse requests, ejecting some would add load to the others.
@@ -76,11 +78,13 @@
     unsigned ejectableDivisor { 3 }; // At most one in this many endpoints of a service is ejected.
     Milliseconds firstEjection { 1000 };
     Milliseconds longestEjection { 8000 };
-    // After an endpoint is taken back, sums may contain failures from before for this long: twice the period, and the time to relay sums.
+    // For this long after an endpoint is taken back, sums may contain failures from before: two report periods of 0.5 s, and the time to
+    // relay sums.
     Milliseconds settleTime { 2000 };
     Milliseconds forgetEjectionsAfter { 10000 }; // After this time without ejection, the next one is as short as the first again.
-    double noticedBelow { 0.8 }; // A ratio that leaves the range from here
-    double noticedAbove { 1.5 }; // to here is reported as a change.
+    // A ratio that leaves this range is reported as a change.
+    double noticedBelow { 0.8 };
+    double noticedAbove { 1.5 };
 };
 
 // A change that operators should see.
@@ -118,7 +122,7 @@
     void onSent(ShortName, SteadyTime now);
     // Records how a request ended.
     void onEnd(ShortName, bool isFailure, SteadyTime now);
-    // Records that a request ended in a way that shows nothing about the endpoint.
+    // Records that a request ended for a reason unrelated to the endpoint.
     void onEndWithoutEvidence(ShortName);
 
     // This node's sums, to send to other nodes.
@@ -129,7 +133,7 @@
 
     // Factors on the expected time to first event and on the expected time between events. 1 for an endpoint without data.
     double firstEventRatio(ShortName, SteadyTime now) const;
-    // Without the fast value: the same at all nodes that know the same sums.
+    // firstEventRatio() without the fast value: equal at all nodes that know the same sums.
     double lastingFirstEventRatio(ShortName) const;
     double pauseRatio(ShortName, SteadyTime now) const;
     // False if the endpoint is ejected, unless it is due to be tried again and this node has not sent its request for that yet.
@@ -145,7 +149,7 @@
     };
 
     struct Bucket {
-        std::int64_t number { 0 }; // Time in units of `bucketLength`.
+        std::int64_t number { 0 }; // Time in units of 0.5 s.
         std::uint16_t requests { 0 };
         std::uint16_t failures { 0 };
     };
@@ -159,7 +163,7 @@
         std::array<Bucket, 4> buckets {};
         double firstEventRatio { 1 };
         double pauseRatio { 1 };
-        double serviceMeanRatio { 1 }; // Of first events.
+        double serviceMeanRatio { 1 }; // Geometric mean of the service's first-event ratios.
         bool isRatioNoticed { false };
         bool isEjected { false };
         bool isTrying { false }; // This node's request that tries the ejected endpoint again is running.
@@ -181,15 +185,20 @@
     void keepLastTotal(const EndpointSpeedReport& total, unsigned nodes, SteadyTime now);
     void updateRatios(const std::vector<ShortName>& members);
     void noticeRatio(ShortName, State&);
+    // Whether sums may still contain failures from before the endpoint was taken back.
+    bool isSettling(const State&, SteadyTime now) const;
+    // Whether the endpoint fails much more often than the others of its service, whose counts include the endpoint's.
+    bool isOutlier(const EndpointSpeedSums&, const Counts& service) const;
     void updateEjections(const std::vector<ShortName>& members, const EndpointSpeedReport& total, SteadyTime now);
     void eject(ShortName, State&, const Counts&, SteadyTime now);
 
     EndpointSpeedOptions m_options;
     std::unordered_map<ShortName, State> m_states {};
-    EndpointSpeedReport m_total {}; // The sums that ratios follow from.
-    EndpointSpeedReport m_fullTotal {}; // The last sums that were not from much fewer nodes than those before,
-    unsigned m_fullTotalNodes { 0 }; // their number of nodes,
-    SteadyTime m_fullTotalAt {}; // and when they were set.
+    EndpointSpeedReport m_total {}; // The sums that ratios are calculated from.
+    // The last sums from at least half as many nodes as the full sums before, the number of nodes, and when they were set.
+    EndpointSpeedReport m_fullTotal {};
+    unsigned m_fullTotalNodes { 0 };
+    SteadyTime m_fullTotalAt {};
     std::vector<EndpointSpeedChange> m_changes {};
 };
 
--- a/modules/balance/first_event_model.h
+++ b/modules/balance/first_event_model.h
@@ -1,5 +1,6 @@
 // Estimates the time to first event at an endpoint where no other prompt is waiting: a fixed time plus a time per uncached prompt token.
-// With pauseModelOptions(), estimates the time between events of a stream: a fixed time plus a time per running stream. Both parts are fitted by least squares over recent requests, with older ones weighted down.
+// With pauseModelOptions(), estimates the time between events of a stream: a fixed time plus a time per running stream. Both parts are
+// fitted by least squares over recent observations, with older ones weighted down.
 #pragma once
 
 namespace Onyxnotch {
@@ -14,7 +15,7 @@
     double initialWeight { 4 }; // Weight of the assumed values, in observations.
     double decayPerObservation { 0.98 }; // Factor on the weight of all earlier observations at each new one: about fifty are effective.
     unsigned trustedAfter { 20 }; // Observations; from then on the assumed values contribute at most a sixth of the weight.
-    // Observations whose numbers of tokens deviate less than this give no slope, so the last fitted time per token stays.
+    // If the standard deviation of the observed numbers of tokens is smaller, they give no slope, and the last fitted time per token stays.
     double minimumDeviationTokens { 100 };
     double outlierFactor { 2 }; // Cap of observed times, as a multiple of the estimate; longer ones are not due to the prompt.
 };
--- a/modules/limits/return_turns.cpp
+++ b/modules/limits/return_turns.cpp
@@ -45,7 +45,7 @@
 
 void ReturnTurns::setRates(const std::map<std::string, ServiceRates>& rates, std::uint64_t now)
 {
-    constexpr double minimumServedPerSecond = 0.01; // With no endpoint left the ratio stays finite; the period is at its maximum then.
+    constexpr double minimumServedPerSecond = 0.01; // Keeps the ratio finite if nothing is served; the period is at its maximum then.
     if (!m_options.enabled)
         return;
     std::erase_if(m_services, [&](const auto& it) { return !rates.contains(it.first); });
@@ -56,7 +56,7 @@
         state.isShort = rate.refusedPerSecond > m_options.shortageShare * rate.requestsPerSecond;
         auto& samples = state.shortageSamples;
         std::erase_if(samples, [&](const Sample& it) { return it.at + static_cast<std::uint64_t>(m_options.periodMemory.count()) < now || it.at > now; });
-        // Nodes with slightly different sums do not find a service short at the same moment, so turns are accepted from half the share on.
+        // Nodes with slightly different sums do not detect a shortage at the same moment, so turns are accepted from half of `shortageShare` on.
         if (2 * rate.refusedPerSecond > m_options.shortageShare * rate.requestsPerSecond)
             samples.push_back({ .at = now, .refusedPerServed = state.refusedPerServed });
     }
@@ -68,7 +68,7 @@
 {
     auto slots = refusedPerServed / m_options.capacityShare * static_cast<double>(m_options.typicalDelay.count()) / static_cast<double>(m_options.slot.count());
     // To the nearest power of two: always rounding up would leave up to half of the intended capacity to newcomers.
-    constexpr double roundedDown = 1.4142;
+    constexpr double roundedDown = 1.4142; // Square root of 2.
     auto period = m_options.minimumPeriod;
     while (period < m_options.maximumPeriod && static_cast<double>(period) * roundedDown < slots)
         period *= 2;
--- a/modules/limits/return_turns.h
+++ b/modules/limits/return_turns.h
@@ -1,5 +1,5 @@
 // Calculates when refused requests may return while their service is short of capacity, so that over all nodes they return one after the
-// other. Time is cut into slots. The slots in which a request has its turn follow from its digest and from the service's rates over all
+// other. Time is divided into slots. The slots in which a request has its turn follow from its digest and from the service's rates over all
 // nodes, so every node calculates the same turns without any message about a refusal.
 //
 // Pure state machine; all times are milliseconds of the time agreed between the nodes (ForwardContext::fleetTimeMilliseconds()). Used by
@@ -21,20 +21,20 @@
     // Length of a turn, in slots. The caller is told a time in the second slot, so a node whose clock is up to one slot behind does not find
     // it early; the slots after that cover the network and callers that come slightly late.
     std::uint64_t turnSlots { 4 };
-    // Bounds of the period, powers of two. At the minimum an eighth of all requests is in turn at any time.
+    // Bounds of the period in slots, powers of two. At the minimum an eighth of all requests is in turn at any time.
     std::uint64_t minimumPeriod { 32 };
     std::uint64_t maximumPeriod { 1024 };
     // Assumed mean time between a refusal and the caller's return. Callers honor a third of the time left, so their last delays are short.
     Milliseconds typicalDelay { 500 };
-    // Part of the available capacity that returning requests should use. Newcomers get the remainder, and those callers that repeat early
-    // compete with newcomers: the larger the part, the less they gain.
+    // Part of the available capacity that returning requests should use. Newcomers get the remainder. Callers that repeat early compete with
+    // newcomers, so they gain less if this part is larger.
     double capacityShare { 0.6 };
     // A service is short if more than this part of its requests is refused.
     double shortageShare { 0.02 };
     // Nodes whose sums differ by up to this factor accept each other's turns.
     double rateTolerance { 1.25 };
     // For how long a turn that was calculated with a shorter period stays valid: callers with up to 6 s left return within this time.
-    // A longer memory leaves turns valid that only callers find who repeat early.
+    // If it were longer, more turns that nobody was told would be accepted, which only callers that repeat early would use.
     Milliseconds periodMemory { 2000 };
     // Bounds of the accepted requests and of the told times that this node remembers, some 100 bytes each. Accepted requests expire after
     // a turn (0.2 s), so the bound is reached beyond 20,000 a second.
@@ -65,7 +65,8 @@
     void setRates(const std::map<std::string, ServiceRates>&, std::uint64_t now);
 
     // Returns the request's first turn that starts at `earliest` or later and has the caller return by `latest`. If there is none, returns
-    // `latest`, but not less than `earliest`, without a turn. Returns nullopt if the service is not short of capacity. Remembers the result for isEarly().
+    // `latest`, but not less than `earliest`, without a turn. Returns nullopt if the service is not short of capacity. Remembers the result
+    // for isEarly().
     std::optional<ReturnTime> nextTurn(const std::string& service, const RequestDigest&, std::uint64_t earliest, std::uint64_t latest, std::uint64_t now);
 
     // Whether a request that arrives now is in its turn. Accepts a digest once in each turn, so that a caller that repeats its request
@@ -75,7 +76,7 @@
     // Whether this node told the request to return later than now.
     bool isEarly(const RequestDigest&, std::uint64_t now) const;
 
-    // Period in slots with which turns are told; 0 if the service is not short.
+    // Period, in slots, of the turns that callers are told; 0 if the service is not short.
     std::uint64_t period(const std::string& service) const;
     std::size_t rememberedRequests() const { return m_accepted.untilByRequest.size() + m_told.untilByRequest.size(); }
 
@@ -91,7 +92,7 @@
         std::deque<Sample> shortageSamples {}; // Of the last `periodMemory`, while the service was short.
     };
 
-    // Requests with a time at which their entry expires.
+    // Requests with the time at which their entry expires, in milliseconds.
     struct ExpiringRequests {
         std::map<RequestDigest, std::uint64_t> untilByRequest {};
         std::deque<std::pair<std::uint64_t, RequestDigest>> insertions {};
--- a/modules/limits/spending_pace.h
+++ b/modules/limits/spending_pace.h
@@ -26,7 +26,7 @@
     double perSecond() const { return m_weight > 0 ? m_perSecond / m_weight : 0; }
 
 private:
-    // At one request a second and node, a shorter time would make the average depend on single requests.
+    // With one request a second at each node, a shorter time would make the average depend on single requests.
     static constexpr double averagingSeconds = 4;
 
     double m_perSecond { 0 };
--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -245,7 +245,8 @@
     }
 }
 
-// Nodes that have become silent may have been cut off with their part of the burst and of the tolerance, and admit it unknown to the others.
+// Nodes that have become silent may be cut off and still admit their part of the burst and of the tolerance, of which the others do not
+// learn.
 void TeamLimits::chargeNewlySilent(double silentNodes, double allNodes)
 {
     if (!hasTolerance() || silentNodes <= 0)
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -40,7 +40,7 @@
     // the level, and because requests that peers admitted are charged only afterwards. Debt beyond the maximum is dropped.
     double maximumDebtSeconds { 8 };
     TeamLimitTolerance tolerance {};
-    // Share of the tolerance that admissions use knowingly. The remainder covers the last request of each node, which may exceed what is
+    // Share of the tolerance that admissions may use. The remainder covers the last request of each node, which may exceed what is
     // left, and nodes that are cut off while they still have a part of the burst.
     double usedTolerance { 0.8 };
     // Time until peers know what this node admitted: three gossip periods, through two relay nodes.
@@ -101,7 +101,7 @@
         double level { 0 };
         double ratePerSecond { 0 };
         double burst { 0 };
-        double tolerance { 0 }; // Amount above the limit that admissions use knowingly.
+        double tolerance { 0 }; // Amount above the limit that admissions may use.
         SteadyTime updatedAt {};
         SpendingPace pace {};
         SteadyTime paceReportAt {}; // When the report arrived with which the pace was last updated.
@@ -117,11 +117,12 @@
     double reportingShare() const { return m_silentNodes > 0 ? reportingNodes() / (reportingNodes() + m_silentNodes) : 1; }
     double initialLevel(const TrafficTeam&, SteadyTime now) const;
     bool hasTolerance() const { return m_options.tolerance.overshoot > 0 || m_options.tolerance.slackTokens > 0; }
-    // Amount above the limit that admissions use knowingly.
+    // Amount above the limit that admissions may use.
     double usableTolerance(const TrafficTeam&) const;
     // Whether another request may be admitted before the peers know what this node admitted last.
     bool isWithinPace(const TrafficTeam&, const Bucket&, double amount, SteadyTime now);
     double evenShare() const; // This node's share if all nodes have the same.
+    // Charges what the nodes that have become silent may admit without the others' knowledge.
     void chargeNewlySilent(double silentNodes, double allNodes);
     SteadyTime latestReportAt() const; // SteadyTime {} if no peer has reported.
     // This node's share of what all nodes may admit: partly even, partly by demand.
--- a/modules/peers/fleet_relay.cpp
+++ b/modules/peers/fleet_relay.cpp
@@ -233,8 +233,8 @@
             break;
         sum.contacts.push_back(it->contact());
     }
-    // Relay nodes of the other zones, for a node that becomes a relay node. All that send aggregates are included, so that two groups of a
-    // zone's nodes that chose different relay nodes, because they do not know each other, hear of each other through the other zones.
+    // Relay nodes of the other zones, for a node that becomes a relay node. Two groups of a zone's nodes that do not know each other choose
+    // different relay nodes. All relay nodes that send aggregates are included, so that the groups learn of each other through other zones.
     for (const auto& [name, zone] : m_remoteZones) {
         for (const auto& [relay, received] : zone.aggregatesByRelay) {
             if (now - received.receivedAt <= m_options.freshFor)
--- a/modules/peers/relayed_sum.h
+++ b/modules/peers/relayed_sum.h
@@ -2,7 +2,7 @@
 // In a larger one it sends the report to the relay nodes of its availability zone (FleetRelay), which send the sum of their zone to the
 // relay nodes of the other zones, and the sum of all zones to the nodes of their own. The sum includes this node's own report.
 //
-// Reports are replaced, not accumulated, so a lost message costs one period. Pure state machine with the time passed in; used by the
+// A new report replaces the sender's last one, so a lost message delays the sum by one period. Pure state machine with the time passed in; used by the
 // request thread only.
 #pragma once
 
--- a/tests/modules/balance/test_endpoint_speeds.cpp
+++ b/tests/modules/balance/test_endpoint_speeds.cpp
@@ -157,7 +157,7 @@
     BOOST_TEST(encodeFrame(message).size() < 5000U);
 }
 
-// Guards against endpoints that count as equally fast at once when the node's network fails, and against speeds that never end.
+// Guards against losing all ratios at once when the node's network fails, and against keeping outdated ratios forever.
 BOOST_AUTO_TEST_CASE(a_node_that_is_cut_off_keeps_the_last_ratios_and_lets_them_fade)
 {
     EndpointSpeedReport total;
@@ -239,7 +239,7 @@
         BOOST_TEST(speeds.isUsable(1, at(now)));
         speeds.onSent(1, at(now));
         BOOST_TEST(!speeds.isUsable(1, at(now)));
-        // The result of another request, which was sent before the ejection.
+        // The end of a request to another endpoint must not end the trial.
         speeds.onEndWithoutEvidence(2);
         speeds.onEnd(1, true, at(now));
     }
@@ -322,8 +322,8 @@
     double requestsPerSecond { 605 };
     double fastFactor { 0.7 };
     double slowFactor { 1.7 }; // Of a third of the endpoints.
-    double spellShare { 0.15 };
-    double spellFactor { 2.5 };
+    double slowdownShare { 0.15 }; // Of the endpoints that are slower at a time, each for 0.6 s.
+    double slowdownFactor { 2.5 };
     int seconds { 30 };
     Milliseconds viewAge { 800 };
     double pauseObjectiveSeconds { 0.05 };
@@ -348,9 +348,9 @@
 
 // Nodes with the classes of onyxnotch-entry send streams to simulated engines, which read one prompt after the other and make the events of
 // all their streams. The nodes' reports reach all nodes after `viewAge`.
-class FleetPlay {
+class SpeedSimulation {
 public:
-    explicit FleetPlay(const FleetLoad& load)
+    explicit SpeedSimulation(const FleetLoad& load)
         : m_load(load)
         , m_random(load.seed)
         , m_engines(load.endpoints)
@@ -398,7 +398,7 @@
     static constexpr double secondsPerToken = 1.0 / 40000;
     static constexpr double objectiveSeconds = 0.4;
     static constexpr int eventsPerStream = 60;
-    static constexpr int measuredFrom = 15000; // Milliseconds: the time over which ratios are effective, and 5 s to learn expected times.
+    static constexpr int measuredFrom = 15000; // Milliseconds: 10 s over which ratios are effective, and 5 s to learn expected times.
 
     struct Stream {
         std::size_t node { 0 };
@@ -406,7 +406,7 @@
         EndpointBook::Flight flight {};
         int sentAt { 0 };
         double promptWork { 0 }; // Seconds at a factor of 1.
-        double eventWork { 0 }; // Part of the next event that is made.
+        double eventWork { 0 }; // Finished part of the next event.
         int events { 0 };
         int firstEventAt { 0 };
         PauseMeter pauses {};
@@ -430,11 +430,11 @@
     {
         if (!m_load.isUneven)
             return 1;
-        constexpr int spellMilliseconds = 600;
-        // Spells of different endpoints begin at different times.
-        auto interval = static_cast<std::uint64_t>(m_now + static_cast<int>(endpoint * 37)) / spellMilliseconds;
+        constexpr int slowdownMilliseconds = 600;
+        // Slowdowns of different endpoints begin at different times.
+        auto interval = static_cast<std::uint64_t>(m_now + static_cast<int>(endpoint * 37)) / slowdownMilliseconds;
         auto draw = static_cast<double>(mixHash(mixHash(endpoint, interval), m_load.seed) >> 11U) * 0x1p-53;
-        return (m_engines[endpoint].isSlow ? m_load.slowFactor : m_load.fastFactor) * (draw < m_load.spellShare ? m_load.spellFactor : 1);
+        return (m_engines[endpoint].isSlow ? m_load.slowFactor : m_load.fastFactor) * (draw < m_load.slowdownShare ? m_load.slowdownFactor : 1);
     }
 
     void exchange()
@@ -584,10 +584,10 @@
 {
     for (std::uint64_t seed : { 1U, 7U, 11U }) {
         FleetLoad load { .enabled = false, .seed = seed };
-        auto without = FleetPlay(load).run();
+        auto without = SpeedSimulation(load).run();
         describe("without", without);
         load.enabled = true;
-        auto with = FleetPlay(load).run();
+        auto with = SpeedSimulation(load).run();
         describe("with", with);
         auto latePart = [](const FleetResult& it) { return it.all.late / it.all.requests; };
         BOOST_TEST(latePart(with) <= 0.5 * latePart(without));
@@ -596,16 +596,16 @@
     }
 }
 
-// Guards against requests that avoid slow endpoints and all go to the same fast ones, where a route has no objective for pauses, so that
-// only expected times count. Up to 16 percent of first events were late then at 85 nodes, 5 without measurements.
+// Without a pause objective, only expected times count. Guards against requests that avoid slow endpoints and all go to the same fast ones:
+// up to 16 percent of first events were late at 85 nodes, and 5 percent without measurements.
 BOOST_AUTO_TEST_CASE(uneven_endpoints_make_half_as_many_first_events_late_without_a_pause_objective)
 {
     for (auto [nodes, seed] : { std::pair(9U, 1U), { 85U, 1U }, { 85U, 7U }, { 85U, 11U } }) {
         FleetLoad load { .nodes = nodes, .viewAge = Milliseconds(nodes > 16 ? 800 : 250), .pauseObjectiveSeconds = 0, .enabled = false, .seed = seed };
-        auto without = FleetPlay(load).run();
+        auto without = SpeedSimulation(load).run();
         describe("without", without);
         load.enabled = true;
-        auto with = FleetPlay(load).run();
+        auto with = SpeedSimulation(load).run();
         describe("with", with);
         BOOST_TEST(with.all.lateFirstEvents / with.all.requests <= 0.5 * without.all.lateFirstEvents / without.all.requests);
     }
@@ -615,9 +615,9 @@
 BOOST_AUTO_TEST_CASE(alike_endpoints_are_chosen_as_without_measurements)
 {
     FleetLoad load { .nodes = 9, .endpoints = 12, .requestsPerSecond = 20, .seconds = 20, .viewAge = Milliseconds(250), .enabled = false, .isUneven = false };
-    auto without = FleetPlay(load).run();
+    auto without = SpeedSimulation(load).run();
     load.enabled = true;
-    auto with = FleetPlay(load).run();
+    auto with = SpeedSimulation(load).run();
     BOOST_TEST(without.choices == with.choices, boost::test_tools::per_element());
 }
 
--- a/tests/modules/limits/test_return_turns.cpp
+++ b/tests/modules/limits/test_return_turns.cpp
@@ -18,7 +18,7 @@
 RequestDigest digestNumber(std::uint64_t n) { return digestOf("team", "host", "/path", std::to_string(n)); }
 
 struct LoadOptions {
-    double demand { 1.2 }; // Of new requests, relative to the capacity.
+    double demand { 1.2 }; // Rate of new requests, relative to the capacity.
     unsigned nodes { 9 };
     bool enabled { true };
 };
@@ -45,7 +45,7 @@
     std::size_t remembered { 0 }; // Highest number of entries of a node.
 };
 
-// Plays 18 s of a load against endpoints that start a fixed number of requests a second. Requests in their turn may use all of the
+// Simulates 18 s of a load against endpoints that start a fixed number of requests a second. Requests in their turn may use all of the
 // capacity that is free at the moment; others leave a reserve, as a request that yields to more urgent ones does. A third of
 // the callers returns after a third of the told delay each time. There is no admission level.
 class LoadSimulation {
@@ -84,6 +84,7 @@
     }
 
 private:
+    // Times are in milliseconds.
     static constexpr std::uint64_t step = 10;
     static constexpr std::uint64_t end = startTime + 18000;
     static constexpr std::uint64_t countedFrom = startTime + 7000; // The rates are smoothed over 2 s.
@@ -172,7 +173,7 @@
 
     void scheduleReturn(Arrival& it, Node& node)
     {
-        constexpr double retryAfter = 300; // As of a node without turns.
+        constexpr double retryAfter = 300; // Mean delay, in milliseconds, that a node without turns tells.
         constexpr std::uint64_t lastMoment = 10; // With less time left a caller gives up.
         auto left = it.deadline > m_now ? it.deadline - m_now : 0;
         auto localNow = m_now + node.clockOffset;
