Mend what the review of limits and sums found, and join its wording

Change: as the code and its comments say. The pace does not bind during the start, when no share is known. Result: nodes_that_are_silent_now_and_then_are_not_charged_again, a_refund_counts_once and a_zone_counts_once_while_nodes_change_to_relay_nodes pass.

--- a/modules/limits/return_turns.h
+++ b/modules/limits/return_turns.h
@@ -1,5 +1,5 @@
 // Calculates when refused requests may return while their service is short of capacity, so that over all nodes they return one after the
-// other. Time is cut into slots. The slots in which a request has its turn follow from its digest and from the service's rates over all
+// other. Time is divided into slots. The slots in which a request has its turn follow from its digest and from the service's rates over all
 // nodes, so every node calculates the same turns without any message about a refusal.
 //
 // Pure state machine; all times are milliseconds of the time agreed between the nodes (ForwardContext::fleetTimeMilliseconds()). Used by
@@ -21,13 +21,13 @@
     // Length of a turn, in slots. The caller is told a time in the second slot, so a node whose clock is up to one slot behind does not find
     // it early; the slots after that cover the network and callers that come slightly late.
     std::uint64_t turnSlots { 4 };
-    // Bounds of the period, powers of two. At the minimum an eighth of all requests is in turn at any time.
+    // Bounds of the period in slots, powers of two. At the minimum an eighth of all requests is in turn at any time.
     std::uint64_t minimumPeriod { 32 };
     std::uint64_t maximumPeriod { 1024 };
     // Assumed mean time between a refusal and the caller's return. Callers honor a third of the time left, so their last delays are short.
     Milliseconds typicalDelay { 500 };
-    // Part of the available capacity that returning requests should use. Newcomers get the remainder, and those callers that repeat early
-    // compete with newcomers: the larger the part, the less they gain.
+    // Part of the available capacity that returning requests should use. Newcomers get the remainder. Callers that repeat early compete with
+    // newcomers, so they gain less if this part is larger.
     double capacityShare { 0.6 };
     // A service is short if more than this part of its requests is refused.
     double shortageShare { 0.02 };
@@ -76,7 +76,7 @@
     // Whether this node told the request to return later than now.
     bool isEarly(const RequestDigest&, std::uint64_t now) const;
 
-    // Period in slots with which turns are told; 0 if the service is not short.
+    // Period, in slots, of the turns that callers are told; 0 if the service is not short.
     std::uint64_t period(const std::string& service) const;
     std::size_t rememberedRequests() const { return m_accepted.untilByRequest.size() + m_told.untilByRequest.size(); }
 
@@ -92,7 +92,7 @@
         std::deque<Sample> shortageSamples {}; // Of the last `periodMemory`, while the service was short.
     };
 
-    // Requests with a time at which their entry expires.
+    // Requests with the time at which their entry expires, in milliseconds.
     struct ExpiringRequests {
         std::map<RequestDigest, std::uint64_t> untilByRequest {};
         std::deque<std::pair<std::uint64_t, RequestDigest>> insertions {};
--- a/modules/limits/spending_pace.h
+++ b/modules/limits/spending_pace.h
@@ -23,10 +23,10 @@
         m_weight += weight * (1 - m_weight);
     }
     // Divided by the weight of the observed time, so that the average is not too low at the start.
-    double perSecond() const { return m_weight > 0 ? m_perSecond / m_weight : 0; }
+    double perSecond() const { return m_weight > 0 ? std::max(0.0, m_perSecond / m_weight) : 0; }
 
 private:
-    // At one request a second and node, a shorter time would make the average depend on single requests.
+    // With one request a second at each node, a shorter time would make the average depend on single requests.
     static constexpr double averagingSeconds = 4;
 
     double m_perSecond { 0 };
@@ -40,12 +40,22 @@
         m_admissions.push_back({ .at = now, .amount = amount });
         m_recentAmount += amount;
         m_sinceUpdate += amount;
+        if (m_admissions.size() <= maximumAdmissions)
+            return;
+        m_admissions[1].amount += m_admissions[0].amount;
+        m_admissions.pop_front();
     }
-    // An admitted request did not run.
+    // An admitted request did not run: the latest admissions count less.
     void onRefunded(double amount)
     {
-        m_recentAmount = std::max(0.0, m_recentAmount - amount);
         m_sinceUpdate -= amount;
+        for (auto it = m_admissions.rbegin(); it != m_admissions.rend() && amount > 0; ++it) {
+            auto refunded = std::min(amount, it->amount);
+            it->amount -= refunded;
+            m_recentAmount -= refunded;
+            amount -= refunded;
+        }
+        m_recentAmount = std::max(0.0, m_recentAmount);
     }
     // Forgets admissions older than `span`.
     void forgetOlderThan(Milliseconds span, SteadyTime now)
@@ -58,8 +68,9 @@
     // Updates the average. Call when the other nodes' averages are updated, so that both cover the same time.
     void updateAverage(SteadyTime now)
     {
+        auto amount = std::exchange(m_sinceUpdate, 0);
         if (m_updatedAt != SteadyTime {})
-            m_average.add(std::exchange(m_sinceUpdate, 0), std::chrono::duration<double>(now - m_updatedAt).count());
+            m_average.add(amount, std::chrono::duration<double>(now - m_updatedAt).count());
         m_updatedAt = now;
     }
     // Amount admitted within the span of the last forgetOlderThan().
@@ -67,6 +78,9 @@
     double perSecond() const { return m_average.perSecond(); }
 
 private:
+    // Bounds the memory of a node that is cut off for long. Beyond it, older admissions are combined and count a little longer.
+    static constexpr std::size_t maximumAdmissions = 4096;
+
     struct Admission {
         SteadyTime at {};
         double amount { 0 };
--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -156,7 +156,8 @@
 // available to all.
 bool TeamLimits::isWithinPace(const TrafficTeam& team, const Bucket& bucket, double amount, SteadyTime now)
 {
-    if (!hasTolerance() || m_peers.empty())
+    // At the start the level is low, and neither this node's share of the demand nor that of the others is known.
+    if (!hasTolerance() || m_peers.empty() || isStartingUp(now))
         return true;
     auto unknownToOthers = bucket.pace.recentAmount();
     double othersUnreported = 0; // Charged to the bucket by estimate.
@@ -245,13 +246,19 @@
     }
 }
 
-// Nodes that have become silent may have been cut off with their part of the burst and of the tolerance, and admit it unknown to the others.
-void TeamLimits::chargeNewlySilent(double silentNodes, double allNodes)
+// Nodes that have become silent may be cut off and still admit their part of the burst and of the tolerance, of which the others do not
+// learn.
+void TeamLimits::chargeSilentNodes(double silentNodes, double allNodes, SteadyTime now)
 {
-    if (!hasTolerance() || silentNodes <= 0)
+    if (now - m_silentChargedAt > m_options.forgetAfter)
+        m_chargedSilentNodes = 0;
+    auto newlySilent = silentNodes - m_chargedSilentNodes;
+    if (!hasTolerance() || newlySilent <= 0)
         return;
+    m_chargedSilentNodes = silentNodes;
+    m_silentChargedAt = now;
     for (auto& [team, bucket] : m_buckets)
-        bucket.level -= silentNodes / allNodes * (bucket.burst + bucket.tolerance);
+        bucket.level -= newlySilent / allNodes * (bucket.burst + bucket.tolerance);
 }
 
 void TeamLimits::onFleetTotals(unsigned nodes, unsigned silentNodes, const std::map<std::string, double>& totals, SteadyTime receivedAt)
@@ -260,8 +267,8 @@
     if (isFirst)
         m_peers.clear();
     m_usesFleetTotals = true;
-    if (!isFirst)
-        chargeNewlySilent(silentNodes - m_silentNodes, nodes + silentNodes + 1.0);
+    // A single late aggregate makes nodes silent for one report only.
+    chargeSilentNodes(std::min<double>(silentNodes, m_silentNodes), nodes + silentNodes + 1.0, receivedAt);
     m_silentNodes = silentNodes;
     auto& fleet = m_peers[fleetPeerName];
     fleet.nodes = nodes;
--- a/modules/peers/relayed_sum.h
+++ b/modules/peers/relayed_sum.h
@@ -2,7 +2,7 @@
 // In a larger one it sends the report to the relay nodes of its availability zone (FleetRelay), which send the sum of their zone to the
 // relay nodes of the other zones, and the sum of all zones to the nodes of their own. The sum includes this node's own report.
 //
-// Reports are replaced, not accumulated, so a lost message costs one period. Pure state machine with the time passed in; used by the
+// A new report replaces the sender's last one, so a lost message delays the sum by one period. Pure state machine with the time passed in; used by the
 // request thread only.
 #pragma once
 
@@ -10,6 +10,7 @@
 #include <cereal/types/string.hpp>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace Onyxnotch {
@@ -148,23 +149,40 @@
         total.nodes += update.nodes;
     }
 
-    Total zoneTotal(SteadyTime now) const
+    // Adds the reports of the zone's nodes.
+    void addNodes(Total& total, const std::string& zone, SteadyTime now) const
     {
-        Total total { .sum = m_own };
         for (const auto& [node, received] : m_nodes) {
-            if (isFresh(received, now))
+            if (isFresh(received, now) && received.update.zone == zone)
                 add(total, received.update);
         }
+    }
+
+    Total zoneTotal(SteadyTime now) const
+    {
+        Total total { .sum = m_own };
+        addNodes(total, m_options.zone, now);
         return total;
     }
 
+    // Of another zone, either the sum that its relay node sent counts or the reports of its nodes: they may all be received while a fleet
+    // grows to the size that needs relay nodes.
     Total fleetTotal(SteadyTime now) const
     {
         auto total = zoneTotal(now);
-        for (const auto& [zone, relays] : m_zones) {
-            const auto* best = zone == m_options.zone ? nullptr : mostCompleteOf(relays, now);
+        std::set<std::string> zones;
+        for (const auto& [node, received] : m_nodes)
+            zones.insert(received.update.zone);
+        for (const auto& [zone, relays] : m_zones)
+            zones.insert(zone);
+        zones.erase(m_options.zone);
+        for (const auto& zone : zones) {
+            auto relays = m_zones.find(zone);
+            const auto* best = relays == m_zones.end() ? nullptr : mostCompleteOf(relays->second, now);
             if (best)
                 add(total, *best);
+            else
+                addNodes(total, zone, now);
         }
         return total;
     }
--- a/tests/modules/limits/test_limits_in_surges.cpp
+++ b/tests/modules/limits/test_limits_in_surges.cpp
@@ -111,6 +111,42 @@
     BOOST_TEST(!limits.admit(limited, 1e5, at(1001)).has_value());
 }
 
+// A late aggregate makes the nodes of a zone silent for one report. They were charged with their share of the burst each time, and a team at
+// half its limit was refused.
+BOOST_AUTO_TEST_CASE(nodes_that_are_silent_now_and_then_are_not_charged_again)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    TeamLimits limits(start - seconds(10), { .expectedNodes = 60, .tolerance = tolerance, .randomSeed = 1 });
+    auto limited = team(1e6);
+    unsigned refused = 0;
+    for (int period = 0; period < 80; ++period) {
+        auto now = start + Milliseconds(250 * period);
+        unsigned silent = period % 4 == 0 ? 15 : 0;
+        limits.onFleetTotals(59 - silent, silent, { { "t", period * 1.2e5 } }, now);
+        refused += limits.admit(limited, 2000, now) ? 1 : 0;
+    }
+    BOOST_TEST(refused == 0U);
+}
+
+// A refund was subtracted a second time when its admission became old, so that a node admitted more than its share.
+BOOST_AUTO_TEST_CASE(a_refund_counts_once)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    SpendingPace pace;
+    pace.onAdmitted(100, start);
+    pace.onAdmitted(100, start + Milliseconds(500));
+    pace.onRefunded(100);
+    pace.forgetOlderThan(Milliseconds(750), start + Milliseconds(600));
+    BOOST_TEST(pace.recentAmount() == 100);
+    pace.onAdmitted(20, start + Milliseconds(700));
+    pace.forgetOlderThan(Milliseconds(750), start + Milliseconds(900));
+    BOOST_TEST(pace.recentAmount() == 20);
+    pace.updateAverage(start + Milliseconds(900));
+    pace.onRefunded(1000);
+    pace.updateAverage(start + Milliseconds(1000));
+    BOOST_TEST(pace.perSecond() >= 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // A suite and CTest test of its own, so that KNOWN-RED.txt can list it.
--- a/tests/modules/peers/test_relayed_sum.cpp
+++ b/tests/modules/peers/test_relayed_sum.cpp
@@ -113,6 +113,21 @@
     BOOST_TEST(a.total(at(1501)).sum.value == 1);
 }
 
+// While a fleet grows to the size that needs relay nodes, a relay node receives the reports of nodes in other zones and their zones' sums.
+BOOST_AUTO_TEST_CASE(a_zone_counts_once_while_nodes_change_to_relay_nodes)
+{
+    auto relay = node("r1", "z1", 1);
+    auto otherRelay = node("r2", "z2", 2);
+    auto other = node("m2", "z2", 4);
+    otherRelay.onUpdate(other.nodeUpdate(), at(0));
+    relay.onUpdate(other.nodeUpdate(), at(0));
+    relay.onUpdate(otherRelay.nodeUpdate(), at(0));
+    BOOST_TEST(relay.total(at(1)).sum.value == 7);
+    relay.onUpdate(otherRelay.zoneUpdate(at(1)), at(1));
+    BOOST_TEST(relay.total(at(2)).sum.value == 7);
+    BOOST_TEST(relay.zoneUpdate(at(2)).sum.value == 1);
+}
+
 BOOST_AUTO_TEST_CASE(updates_are_encoded_and_checked)
 {
     auto update = node("a", "z", 3).nodeUpdate();
