Simulate fleets without relay nodes, and partitions

FleetSimulation played relay nodes at every size, although nodes of a fleet of up to 16 send their rows to each other directly, and it could cut nodes off only one by one. It now sends directly where asked to (the timeouts are those of EntryNode), knows partitions, and tells by which node a request was admitted or refused.

--- a/tests/modules/peers/fleet_simulation.h
+++ b/tests/modules/peers/fleet_simulation.h
@@ -28,6 +28,7 @@
     // Standard deviation of the logarithm of a request's tokens; 0 if all requests have `tokensPerRequest`, which is their mean.
     double tokensSpread { 0 };
     unsigned endpointsLeaving { 0 }; // Number of endpoints that three nodes of the first zone report as leaving.
+    bool usesRelays { true }; // Otherwise nodes send their rows to each other directly, as in a fleet of up to 16 nodes.
 };
 
 class FleetSimulation {
@@ -41,6 +42,7 @@
         std::uint32_t sequence { 0 };
         bool isUp { true };
         bool isCutOff { false }; // Cut off from every other node; clients still reach it.
+        unsigned partition { 0 }; // Nodes of different partitions do not reach each other.
         std::unique_ptr<PeerTable> table {};
         std::unique_ptr<FleetRelay> relay {};
         std::unique_ptr<TeamLimits> limits {};
@@ -48,12 +50,14 @@
         std::optional<FleetRelay::Others> others {};
         std::uint64_t sent { 0 };
         std::uint64_t sentBytes { 0 };
+        unsigned refused { 0 };
     };
 
     // One request that was admitted.
     struct Admission {
         SteadyTime at {};
         double tokens { 0 };
+        unsigned node { 0 };
     };
 
     explicit FleetSimulation(const FleetSimulationOptions& options)
@@ -95,6 +99,7 @@
 
     std::vector<Node>& nodes() { return m_nodes; }
     SteadyTime now() const { return m_now; }
+    const std::vector<Admission>& admissions() const { return m_admissions; }
     double admittedSince(SteadyTime since) const { return admittedBetween(since, m_now); }
     double admittedBetween(SteadyTime from, SteadyTime to) const
     {
@@ -157,9 +162,8 @@
         limits.randomSeed = static_cast<std::uint32_t>(m_options.seed * m_options.nodes + n + 1);
         node.limits = std::make_unique<TeamLimits>(m_now, limits);
         node.suspects = std::make_unique<SuspectTracker>(SuspectOptions { .node = node.name });
-        node.limits->setFreshFor(m_options.period * 4);
-        node.limits->setStartupPhase(m_options.period * 10);
         node.limits->setExpectedNodes(m_options.nodes);
+        setTimeouts(node);
         // The initial contacts are those in the store's list of nodes.
         for (const auto& it : m_nodes)
             node.table->addContact({ .node = it.name, .lifetime = 0, .gossipAddress = it.address, .zone = it.zone }, m_now);
@@ -167,6 +171,14 @@
         push(n, nextArrival(), Arrival {}, node.lifetime);
     }
 
+    // As EntryNode::RequestSide: adaptRelayTimeouts() or, for a fleet in which each row reaches all nodes, adaptDirectTimeouts().
+    void setTimeouts(Node& node) const
+    {
+        node.limits->setFreshFor(m_options.period * (m_options.usesRelays ? 4 : 3));
+        node.limits->setStartupPhase(m_options.period * (m_options.usesRelays ? 10 : 8));
+        node.limits->setPropagationTime(m_options.period * (m_options.usesRelays ? 3 : 2));
+    }
+
     Milliseconds nextArrival() { return Milliseconds(static_cast<std::int64_t>(std::exponential_distribution<double>(m_options.requestsPerSecond * demandFactor)(m_random) * 1000) + 1); }
 
     void push(unsigned n, Milliseconds delay, Message message, std::uint64_t lifetime = 0)
@@ -188,25 +200,38 @@
             if (node.suspects->takeRelayDue() && node.relay->isRelay(m_now))
                 sendSuspects(event.node);
         } else if (const auto* row = std::get_if<std::shared_ptr<const PeerRow>>(&event.message)) {
-            if (node.table->apply(**row, m_now)) {
-                node.relay->onRow(**row, m_now);
-                node.suspects->onPeerUpdate((*row)->suspects, m_now);
-            }
+            onRow(event.node, **row);
         } else if (const auto* zone = std::get_if<std::shared_ptr<const ZoneMessage>>(&event.message))
             node.relay->onZoneAggregate((*zone)->sum, m_now);
         else if (const auto* fleet = std::get_if<std::shared_ptr<const FleetMessage>>(&event.message))
             node.relay->onFleetAggregate((*fleet)->sum, m_now);
     }
 
+    void onRow(unsigned n, const PeerRow& row)
+    {
+        auto& node = m_nodes[n];
+        bool isNewIncarnation = !node.table->hasReceivedRow(row.node, row.lifetime);
+        if (!node.table->apply(row, m_now))
+            return;
+        node.relay->onRow(row, m_now);
+        node.suspects->onPeerUpdate(row.suspects, m_now);
+        if (m_options.usesRelays)
+            return;
+        node.limits->onPeerTotals(row.node, row.lifetime, Milliseconds(row.ageMilliseconds), row.teamTotals, m_now);
+        if (isNewIncarnation)
+            send(n, { row.gossipAddress }, std::make_shared<const PeerRow>(nextRow(n)));
+    }
+
     void onArrival(unsigned n)
     {
         ++requested;
         auto& node = m_nodes[n];
         auto tokens = nextTokens();
-        if (node.limits->admit(m_options.team, tokens, m_now))
+        if (node.limits->admit(m_options.team, tokens, m_now)) {
             ++refused;
-        else
-            m_admissions.push_back({ .at = m_now, .tokens = tokens });
+            ++node.refused;
+        } else
+            m_admissions.push_back({ .at = m_now, .tokens = tokens, .node = n });
         push(n, nextArrival(), Arrival {}, node.lifetime);
     }
 
@@ -233,15 +258,40 @@
     static std::size_t bytesOf(Tick) { return 0; }
     static std::size_t bytesOf(Arrival) { return 0; }
 
-    void onTick(unsigned n)
+    PeerRow nextRow(unsigned n)
     {
         auto& node = m_nodes[n];
-        node.table->purgeExpired(m_now);
         PeerRow row { .node = node.name, .lifetime = node.lifetime, .sequence = ++node.sequence, .ageMilliseconds = static_cast<std::uint32_t>(toMilliseconds(m_now - node.startedAt).count()), .zone = node.zone, .gossipAddress = node.address, .teamTotals = node.limits->ownTotals(), .loads = loadsOf(n), .suspects = node.suspects->news(m_now) };
         if (n < 3 * m_options.zones && n % m_options.zones == 0) {
             for (unsigned it = 0; it < m_options.endpointsLeaving; ++it)
                 row.leavingEndpoints.push_back({ .id = "e" + std::to_string(it), .born = 1 });
         }
+        return row;
+    }
+
+    void onTick(unsigned n)
+    {
+        auto& node = m_nodes[n];
+        node.table->purgeExpired(m_now);
+        auto row = nextRow(n);
+        if (m_options.usesRelays)
+            exchangeThroughRelays(n, row);
+        else
+            exchangeDirectly(n, row);
+        push(n, m_options.usesRelays ? node.relay->period(m_now) : m_options.period, Tick {}, node.lifetime);
+    }
+
+    void exchangeDirectly(unsigned n, const PeerRow& row)
+    {
+        std::vector<Address> receivers;
+        for (const auto& it : m_nodes[n].table->contacts())
+            receivers.push_back(it.gossipAddress);
+        send(n, receivers, std::make_shared<const PeerRow>(row));
+    }
+
+    void exchangeThroughRelays(unsigned n, const PeerRow& row)
+    {
+        auto& node = m_nodes[n];
         node.relay->setOwnRow(row, m_now);
         send(n, node.relay->rowReceivers(), std::make_shared<const PeerRow>(row));
         if (node.relay->isRelay(m_now)) {
@@ -257,7 +307,6 @@
             node.suspects->onPeerUpdate(node.others->sum.suspects, m_now);
         if (node.others)
             node.limits->onFleetTotals(node.others->sum.nodes, node.others->sum.silentNodes, node.others->sum.teamTotals, node.others->receivedAt);
-        push(n, node.relay->period(m_now), Tick {}, node.lifetime);
     }
 
     void sendSuspects(unsigned n)
@@ -276,7 +325,8 @@
             ++m_nodes[n].sent;
             unsigned to = it.port - 1U;
             bool lost = std::uniform_real_distribution<double>(0, 1)(m_random) < m_options.lossFraction;
-            if (!lost && !m_nodes[n].isCutOff && !m_nodes[to].isCutOff)
+            bool isReachable = !m_nodes[n].isCutOff && !m_nodes[to].isCutOff && m_nodes[n].partition == m_nodes[to].partition;
+            if (!lost && isReachable)
                 push(to, Milliseconds(1 + m_random() % 5), message);
         }
     }
