Report the age of a relay node's totals

Callers saw: a team at five times its limit got 1.26 of what is allowed in 8 s when a third of 9 nodes was cut off, 1.59 with a half.

Cause: a relay node took its own aggregate, computed of rows up to 1.5 s old, for a report received at that moment. Cut off, it thought that the others were idle, and then that they were one or two.

Change: the totals are as old as the last row or aggregate of another node.

The new test failed before (the others' totals were as old as the last period, after 1.4 s of silence); it passes.

--- a/modules/peers/fleet_relay.cpp
+++ b/modules/peers/fleet_relay.cpp
@@ -60,6 +60,7 @@
     if (row.zone != m_options.zone)
         return;
     m_members[row.node] = now;
+    m_reportReceivedAt = now;
     auto age = Milliseconds(row.ageMilliseconds);
     m_zoneTotals.update(row.node, row.lifetime, age, row.teamTotals, now);
     m_otherTotals.update(row.node, row.lifetime, age, row.teamTotals, now);
@@ -94,6 +95,7 @@
     auto& zone = m_remoteZones[sum.relay.zone];
     if (!storeIfNewer(zone.aggregatesByRelay, sum, now))
         return;
+    m_reportReceivedAt = now;
     zone.teamTotals.update(sum.relay.node, sum.relay.lifetime, false, sum.teamTotals);
     zone.choice.onAnswer(sum.relay.node, now);
 }
@@ -333,7 +335,7 @@
         auto own = fleetAggregate(now, false);
         if (own.nodes > 0) {
             m_fleetTotals.update(m_options.node, m_ownRow.lifetime, false, own.teamTotals);
-            m_totalsReceivedAt = now;
+            m_totalsReceivedAt = std::max(m_totalsReceivedAt, m_reportReceivedAt);
             sum = std::move(own);
         }
     }
--- a/modules/peers/fleet_relay.h
+++ b/modules/peers/fleet_relay.h
@@ -144,6 +144,7 @@
     std::vector<PeerContact> m_ownZoneRelays {}; // Relay nodes of this node's zone that it chose in this period.
     std::map<std::string, RemoteZone> m_remoteZones {}; // Other zones.
     std::map<std::string, ReceivedAggregate> m_fleetAggregates {}; // Received, by relay node of this node's zone.
+    SteadyTime m_reportReceivedAt {}; // Last time at which a row or a zone aggregate of another node was received.
     SteadyTime m_totalsReceivedAt {};
     SlidingMaximum m_recentNodes {}; // Largest number of nodes in one aggregate during the last `silentFor`.
     MergedTotals m_fleetTotals {}; // Of all other nodes, merged from the aggregates of this zone's relay nodes.
--- a/tests/modules/peers/test_fleet_relay.cpp
+++ b/tests/modules/peers/test_fleet_relay.cpp
@@ -136,6 +136,20 @@
     }
 }
 
+// A relay node that was cut off took its own old aggregate for a new report, and admitted up to a half of a team's limit for itself.
+BOOST_AUTO_TEST_CASE(totals_are_as_old_as_the_last_report_of_another_node)
+{
+    FleetSimulation fleet({ .nodes = 9, .zones = 4 });
+    fleet.run(seconds(5));
+    for (auto& it : fleet.nodes())
+        it.isCutOff = true;
+    fleet.run(Milliseconds(1400));
+    for (auto& it : fleet.nodes()) {
+        if (it.others)
+            BOOST_TEST((fleet.now() - it.others->receivedAt >= Milliseconds(900)));
+    }
+}
+
 // Guards against refusals below the limit: without relay nodes, 176 of 1,000 requests at low load on 295 nodes were refused for a limit
 // that their team had not reached.
 BOOST_AUTO_TEST_CASE(no_request_is_refused_below_the_limit)
