Send the fleet's state to nodes from which nothing was heard

Cause: it knew no other node, so it sent its rows to nobody, and the other nodes of its zone had chosen relay nodes among themselves.

Change: a relay node sends its aggregate also to one node of its zone, at random, from which it received no row: one datagram a period as long as there is such a node.

--- a/modules/peers/fleet_relay.cpp
+++ b/modules/peers/fleet_relay.cpp
@@ -325,9 +325,22 @@
     keepHeaviest(outgoing.sum.loads, m_options.loadsPerAggregate);
     setCommonFields(outgoing.sum, now);
     addMembers(outgoing.receivers, now);
+    addUnheardContact(outgoing.receivers);
     return outgoing;
 }
 
+// A node that was the first to start may know no other node, and no other may have chosen it as relay node: without this it would never hear
+// of the others.
+void FleetRelay::addUnheardContact(std::vector<Address>& receivers)
+{
+    auto contacts = m_table.contactsIn(m_options.zone);
+    std::erase_if(contacts, [&](const auto& it) { return m_table.hasReceivedRow(it.node, it.lifetime); });
+    if (contacts.empty())
+        return;
+    auto n = std::uniform_int_distribution<std::size_t>(0, contacts.size() - 1)(m_random);
+    receivers.push_back(contacts[n].gossipAddress);
+}
+
 std::optional<FleetRelay::Others> FleetRelay::others(SteadyTime now)
 {
     std::optional<GroupAggregate> sum;
--- a/modules/peers/fleet_relay.h
+++ b/modules/peers/fleet_relay.h
@@ -121,6 +121,8 @@
     void refreshContacts(const GroupAggregate&, SteadyTime now);
     std::vector<const PeerRow*> freshRows(SteadyTime now) const;
     void addMembers(std::vector<Address>&, SteadyTime now) const;
+    // Adds a random node of this zone from which no row was received.
+    void addUnheardContact(std::vector<Address>&);
     GroupAggregate zoneAggregate(SteadyTime now, bool includeOwnRow);
     GroupAggregate fleetAggregate(SteadyTime now, bool includeOwnRow);
     void addContacts(GroupAggregate&, SteadyTime now);
--- a/tests/modules/peers/test_fleet_relay.cpp
+++ b/tests/modules/peers/test_fleet_relay.cpp
@@ -136,6 +136,21 @@
     }
 }
 
+// The node that started first knew no other, none had chosen it as relay node, and it used the complete limits of the teams.
+BOOST_AUTO_TEST_CASE(a_node_that_knows_no_other_hears_of_the_fleet)
+{
+    for (unsigned nodes : { 9U, 60U, 85U }) {
+        for (std::uint64_t seed : { 102, 112, 134, 149, 158, 171 }) {
+            FleetSimulation fleet({ .nodes = nodes, .zones = 4, .seed = seed, .lossFraction = 0.03 });
+            fleet.run(seconds(5));
+            BOOST_TEST_CONTEXT(nodes << " nodes, seed " << seed)
+            {
+                BOOST_TEST(nodesKnowingAll(fleet) == nodes);
+            }
+        }
+    }
+}
+
 // A relay node that was cut off took its own old aggregate for a new report, and admitted up to a half of a team's limit for itself.
 BOOST_AUTO_TEST_CASE(totals_are_as_old_as_the_last_report_of_another_node)
 {
