Count a source of totals that is behind when the one ahead has failed

Callers saw: teams above their limit got more than it after relay nodes had failed; after a cut that had healed, 5 to 16 in 100 requests of a team at 0.56 of its limit were refused (60 and 85 nodes).

Cause: merged totals are the highest of several relay nodes' totals. A source that had fallen behind did not count until it caught up with the failed one; what was reported only to failed ones was estimated by the receiver, which cannot tell their failure from its own.

Change: a source that is behind starts again at the merged total when the one ahead has not reported for a second, and what was lost is estimated there, by the rate before, for three seconds at most.

--- a/modules/peers/fleet_relay.cpp
+++ b/modules/peers/fleet_relay.cpp
@@ -96,7 +96,7 @@
     if (!storeIfNewer(zone.aggregatesByRelay, sum, now))
         return;
     m_reportReceivedAt = now;
-    zone.teamTotals.update(sum.relay.node, sum.relay.lifetime, false, sum.teamTotals);
+    zone.teamTotals.update(sum.relay.node, sum.relay.lifetime, false, sum.teamTotals, now);
     zone.choice.onAnswer(sum.relay.node, now);
 }
 
@@ -121,7 +121,7 @@
     // If this node's row was included before but is not now, or the reverse, the totals cannot be compared with the previous ones.
     bool realign = isIncluded != known.isThisNodeIncluded;
     known.isThisNodeIncluded = isIncluded;
-    m_fleetTotals.update(sum.relay.node, sum.relay.lifetime, realign, withoutOwnRow(sum).teamTotals);
+    m_fleetTotals.update(sum.relay.node, sum.relay.lifetime, realign, withoutOwnRow(sum).teamTotals, now);
     m_totalsReceivedAt = now;
 }
 
@@ -347,7 +347,7 @@
     if (isRelay(now)) {
         auto own = fleetAggregate(now, false);
         if (own.nodes > 0) {
-            m_fleetTotals.update(m_options.node, m_ownRow.lifetime, false, own.teamTotals);
+            m_fleetTotals.update(m_options.node, m_ownRow.lifetime, false, own.teamTotals, now);
             m_totalsReceivedAt = std::max(m_totalsReceivedAt, m_reportReceivedAt);
             sum = std::move(own);
         }
--- a/modules/peers/growing_totals.h
+++ b/modules/peers/growing_totals.h
@@ -12,6 +12,16 @@
 
 using TotalsByName = std::map<std::string, double>;
 
+namespace detail {
+
+    // A source without a report for longer has failed: four gossip periods.
+    constexpr Milliseconds sourceTimeout { 1000 };
+    // Replacements of failed sources report within this time. If there is no report for longer, this node itself was cut off.
+    constexpr Milliseconds maximumLostSpan { 3000 };
+    constexpr double growthAveragingSeconds = 1;
+
+} // namespace detail
+
 // Adds up the growth of several nodes' counters since the construction of this object.
 class AggregatedTotals {
 public:
@@ -38,10 +48,13 @@
 
 // Merges the totals that several sources aggregated over the same nodes. Each source gets an offset at its first report, so that it starts
 // at the current merged total; from then on the highest value counts, since a lower one misses some reports.
+//
+// If the sources that are ahead fail, the ones that replace them have missed reports. A source that is behind then starts at the current
+// merged total again, and what was reported to the failed ones last is estimated by the rate before.
 class MergedTotals {
 public:
     // Updates with the totals of one source. `realign`: the source aggregates other nodes than before, so its offset is computed again.
-    void update(const std::string& source, std::uint64_t lifetime, bool realign, const TotalsByName& totals);
+    void update(const std::string& source, std::uint64_t lifetime, bool realign, const TotalsByName& totals, SteadyTime now);
     const TotalsByName& totals() const { return m_totals; }
 
 private:
@@ -50,8 +63,19 @@
         TotalsByName offsets {};
     };
 
+    // The source that was ahead last.
+    struct Leader {
+        SteadyTime reportedAt {};
+        double perSecond { 0 }; // Growth of the merged total.
+    };
+
+    void updateTotal(const std::string& name, double total, bool isAligned, double& offset, SteadyTime now);
+    static bool hasFailed(const Leader& leader, SteadyTime now) { return now - leader.reportedAt > detail::sourceTimeout; }
+    static double estimateLost(const Leader&, SteadyTime now);
+
     std::map<std::string, Source> m_sources {};
     TotalsByName m_totals {};
+    std::map<std::string, Leader> m_leaders {}; // By the name of the total.
 };
 
 } // namespace Onyxnotch
