Keep apart the share of nodes that do not report

Cause: what unheard nodes may spend was estimated in three places that kept no account: a charge, once, without the time until they are missed; the rate alone in direct fleets; an estimate of the whole fleet charged to the small share of a node that is cut off, and, back again, estimate and report charged both. After 20 s the share went to the others, on both sides of a cut.

Change: TeamBucket recomputes the level from a past one with the share of silent nodes kept apart since their last report, and gives it back when they report. Estimates postpone admissions and are charged no more. Shares above 0.15 of all nodes are given up after two minutes only. Admissions use a quarter of the overshoot and most of the slack, not 0.8 of both: the rest covers each node's last request.

--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -202,6 +202,7 @@
     forward.teams.setFreshFor(options.gossipPeriod * freshPeriods);
     forward.teams.setStartupPhase(options.gossipPeriod * cautiousPeriods);
     forward.teams.setPropagationTime(options.gossipPeriod * propagationPeriods);
+    forward.teams.setSilenceDetectedAfter(options.gossipPeriod * (silentPeriods + propagationPeriods));
 }
 
 std::map<EndpointIncarnation, EndpointLoadReport> EntryNode::RequestSide::loadsByIncarnation(const std::map<ShortName, AggregatedLoad>& loads) const
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -47,6 +47,8 @@
     std::optional<LocalResponse> findTeam();
     std::optional<LocalResponse> checkSuspects();
     std::optional<LocalResponse> admit();
+    // Logs what this node knows of the team when it refuses a request for the team's limit.
+    void logTeamLimit();
     // Refuses the request if its service is short of capacity, as far as the level that all nodes share requires.
     std::optional<LocalResponse> checkAdmissionLevel();
     // The group whose demand and chance of admission the request belongs to.
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -171,6 +171,7 @@
     // Log lines per second for successful and for failed requests: a line for every request would cost too much processor time.
     LogRateLimiter succeededRequestLines { 100 };
     LogRateLimiter failedRequestLines { 100 };
+    LogRateLimiter teamLimitLines { 20 }; // Log lines per second with the state behind refusals for a team's limit.
     LogRateLimiter noticeLines { 50 }; // Log lines per second for notices that endpoints send about themselves.
     std::int64_t clockDifference { 0 }; // Agreed time of day minus the monotonic clock, in milliseconds.
     BodyMemoryBudget bodyMemory; // Client request bodies.
--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -32,31 +32,46 @@
 {
 }
 
-// Estimates the current total of a peer. A peer that stopped reporting may be cut off and still admit requests: after `freshFor` it is
-// assumed to use at least its even share, just as it assumes that of this node.
-double TeamLimits::expectedTotal(const Peer& peer, const PeerUse& use, double ratePerSecond, SteadyTime now) const
+// Of a silent peer nothing is estimated: its share is kept apart instead (see advance()).
+double TeamLimits::estimateUnreported(const TrafficTeam& team, SteadyTime now) const
 {
-    auto sinceReport = now - peer.receivedAt;
-    auto freshTime = std::min<SteadyTime::duration>(sinceReport, m_options.freshFor);
-    auto staleTime = sinceReport - freshTime;
-    auto share = ratePerSecond * peer.nodes / reportingNodes();
-    auto perSecond = use.perSecond.value_or(share);
-    // The estimate is capped at the team's complete rate: no peer exceeds it for long, and a large debt from an estimate alone would
-    // refuse the team for seconds.
-    return use.total + perSecond * seconds(freshTime) + std::min(std::max(perSecond, share), ratePerSecond) * seconds(staleTime);
+    double unreported = 0;
+    auto evenRate = team.ratePerSecond / knownNodes();
+    for (const auto& [node, peer] : m_peers) {
+        auto use = peer.uses.find(team.name);
+        if (isSilent(peer, now) || use == peer.uses.end())
+            continue;
+        unreported += use->second.perSecond.value_or(evenRate * peer.nodes) * seconds(now - peer.receivedAt);
+    }
+    return unreported;
 }
 
-double TeamLimits::reportingNodes() const
+double TeamLimits::knownNodes() const
 {
-    double nodes = 1;
+    auto nodes = 1 + m_silentNodes;
     for (const auto& [name, peer] : m_peers)
         nodes += peer.nodes;
     return nodes;
 }
 
+TeamLimits::Silence TeamLimits::silence(SteadyTime now) const
+{
+    auto silentNodes = m_silentNodes;
+    auto duration = m_options.silenceDetectedAfter;
+    for (const auto& [name, peer] : m_peers) {
+        if (!isSilent(peer, now))
+            continue;
+        silentNodes += peer.nodes;
+        duration = std::min(duration, toMilliseconds(now - peer.receivedAt));
+    }
+    // Without any report, the last level that was kept is from the last report.
+    bool isCutOff = m_usesFleetTotals && isSilent(m_peers.at(fleetPeerName), now);
+    return { .share = silentNodes / knownNodes(), .duration = isCutOff ? Milliseconds(0) : duration };
+}
+
 double TeamLimits::spendableShare(SteadyTime now) const
 {
-    return isStartingUp(now) ? std::min(1.0, reportingNodes() / std::max(1U, m_options.expectedNodes)) : 1;
+    return isStartingUp(now) ? std::min(1.0, knownNodes() / std::max(1U, m_options.expectedNodes)) : 1;
 }
 
 // What an earlier incarnation of this node admitted is unknown. Shortly after the start, the initial level is therefore only what has
@@ -66,58 +81,85 @@
     if (!isStartingUp(now))
         return team.burst;
     auto accumulated = team.ratePerSecond * seconds(now - m_startedAt) * spendableShare(now);
-    return std::min(team.burst, accumulated + usableTolerance(team) * evenShare());
+    return std::min(team.burst, accumulated + usedTolerance(team) * evenShare(0));
+}
+
+// The aggregate entry never expires: it is less likely that the complete fleet is down than that this node is cut off from it.
+void TeamLimits::forgetSilentPeers(SteadyTime now)
+{
+    if (m_usesFleetTotals)
+        return;
+    auto silent = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& it) { return isSilent(it.second, now); });
+    auto forgetAfter = isForgettable(static_cast<double>(silent), knownNodes()) ? m_options.forgetAfter : m_options.forgetManyAfter;
+    std::erase_if(m_peers, [&](const auto& it) { return now - it.second.receivedAt > forgetAfter; });
 }
 
-void TeamLimits::advance(const std::string& team, Bucket& bucket, SteadyTime now)
+double TeamLimits::takePeerSpending(const std::string& name, Team& team, SteadyTime now)
 {
-    auto elapsed = seconds(now - bucket.updatedAt);
-    bucket.updatedAt = now;
-    auto level = bucket.level + bucket.ratePerSecond * elapsed * std::min(spendableShare(now), reportingShare());
-    // The aggregate entry never expires: it is less likely that the complete fleet is down than that this node is cut off from it.
-    std::erase_if(m_peers, [&](const auto& it) { return it.first != fleetPeerName && now - it.second.receivedAt > m_options.forgetAfter; });
+    double spent = 0;
     for (auto& [node, peer] : m_peers) {
-        auto& use = peer.uses[team];
-        auto total = expectedTotal(peer, use, bucket.ratePerSecond, now);
+        auto& use = peer.uses[name];
         // A bucket that starts with a full burst is charged only for what peers admit from now on. A bucket that starts with the amount
         // accumulated since this node's start is also charged for what peers admitted since then.
-        if (bucket.isInitialized || isStartingUp(now))
-            level -= total - use.charged;
-        use.charged = total;
+        if (team.isCharged || isStartingUp(now))
+            spent += use.total - use.charged;
+        use.charged = use.total;
     }
-    bucket.isInitialized = true;
-    // The refill and the charges cover the same period, so only their difference is clamped.
-    bucket.level = std::clamp(level, -bucket.ratePerSecond * m_options.maximumDebtSeconds, bucket.burst);
+    team.isCharged = true;
+    return spent;
 }
 
-bool TeamLimits::allPeersReport(SteadyTime now) const
+// Nodes that do not report may be cut off and still admit requests, of which the others do not learn. Their share of the level and of the
+// refill is kept apart for them. A node that is cut off itself does the same, so that all parts of the fleet together keep the limit.
+void TeamLimits::advance(const std::string& name, Team& team, SteadyTime now)
 {
-    if (m_silentNodes > reportingNodes() * maxSilentShare)
-        return false;
-    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& it) { return now - it.second.receivedAt <= 2 * m_options.freshFor; });
+    forgetSilentPeers(now);
+    auto silent = silence(now);
+    if (silent.share < team.bucket.silentShare())
+        team.bucket.setSilentShare(silent.share, silent.duration, now);
+    auto spent = takePeerSpending(name, team, now);
+    auto spendable = spendableShare(now);
+    team.bucket.setLimit(team.ratePerSecond * spendable, team.burst * spendable);
+    team.bucket.advance(spent, now);
+    if (silent.share > team.bucket.silentShare())
+        team.bucket.setSilentShare(silent.share, silent.duration, now);
 }
 
-double TeamLimits::requiredLevel(const TrafficTeam& team, double amount, SteadyTime now) const
+double TeamLimits::requiredLevel(const TrafficTeam& team, const Team& state, double amount, SteadyTime now) const
 {
     // Each node may overdraw its level by one request. Nodes that don't know of each other yet would all do so at the same time. During
     // startup a node therefore needs a part of the amount in advance, equal to the share of the rate that it must not spend yet.
     auto unspendableShare = 1 - spendableShare(now);
     if (unspendableShare > 0)
         return amount * unspendableShare;
-    bool isSmall = amount < team.ratePerSecond * m_options.smallRequestShare;
-    return isSmall && allPeersReport(now) ? -team.ratePerSecond * m_options.smallDebtSeconds : 0;
+    if (amount >= team.ratePerSecond * m_options.smallRequestShare)
+        return 0;
+    constexpr double debtTolerance = 0.3; // Share of the tolerance.
+    auto debt = team.ratePerSecond * m_options.smallDebtSeconds;
+    if (hasTolerance())
+        return -std::min(debt, toleratedAmount(team) * debtTolerance) * (1 - state.bucket.silentShare());
+    // Nodes that are cut off from each other would each accumulate such a debt.
+    return state.bucket.silentShare() <= maxSilentShare ? -debt : 0;
 }
 
-double TeamLimits::usableTolerance(const TrafficTeam& team) const
+double TeamLimits::toleratedAmount(const TrafficTeam& team) const
 {
     const auto& tolerance = m_options.tolerance;
     auto amount = tolerance.overshoot * (team.ratePerSecond * seconds(tolerance.window) + team.burst);
-    if (team.countsTokens)
-        amount += tolerance.slackTokens;
-    return amount * m_options.usedTolerance;
+    return team.countsTokens ? amount + tolerance.slackTokens : amount;
 }
 
-double TeamLimits::evenShare() const { return 1 / std::max(reportingNodes(), static_cast<double>(m_options.expectedNodes)); }
+double TeamLimits::usedTolerance(const TrafficTeam& team) const
+{
+    auto slack = team.countsTokens ? m_options.tolerance.slackTokens : 0;
+    return (toleratedAmount(team) - slack) * m_options.usedOvershoot + slack * m_options.usedSlack;
+}
+
+double TeamLimits::evenShare(double silentShare) const
+{
+    auto nodes = std::max(knownNodes(), static_cast<double>(m_options.expectedNodes));
+    return 1 / std::max(1.0, nodes - silentShare * knownNodes());
+}
 
 SteadyTime TeamLimits::latestReportAt() const
 {
@@ -127,96 +169,113 @@
     return latest;
 }
 
-void TeamLimits::updatePace(Bucket& bucket, SteadyTime now) const
+void TeamLimits::updatePace(Team& team, SteadyTime now) const
 {
     auto reportAt = latestReportAt();
     // Without reports this node may be cut off: then the others know of nothing that it has admitted since, and its share stays.
-    if (reportAt != bucket.paceReportAt)
-        bucket.pace.updateAverage(now);
-    bucket.paceReportAt = reportAt;
+    if (reportAt != team.paceReportAt)
+        team.pace.updateAverage(now);
+    team.paceReportAt = reportAt;
     auto sinceReport = reportAt == SteadyTime {} ? Milliseconds(0) : std::max(Milliseconds(0), toMilliseconds(now - reportAt));
-    bucket.pace.forgetOlderThan(m_options.propagationTime + sinceReport, now);
+    team.pace.forgetOlderThan(m_options.propagationTime + sinceReport, now);
 }
 
-double TeamLimits::paceShare(const std::string& team, const Bucket& bucket) const
+double TeamLimits::paceShare(const std::string& name, const Team& team) const
 {
     double othersPerSecond = 0;
     for (const auto& [node, peer] : m_peers) {
-        auto use = peer.uses.find(team);
+        auto use = peer.uses.find(name);
         if (use != peer.uses.end())
             othersPerSecond += use->second.average.perSecond();
     }
-    auto demand = bucket.pace.perSecond() + othersPerSecond;
-    auto demandShare = demand > 0 ? bucket.pace.perSecond() / demand : evenShare();
-    return m_options.evenPaceShare * evenShare() + (1 - m_options.evenPaceShare) * demandShare;
+    auto even = evenShare(team.bucket.silentShare());
+    auto demand = team.pace.perSecond() + othersPerSecond;
+    auto demandShare = demand > 0 ? team.pace.perSecond() / demand : even;
+    return m_options.evenPaceShare * even + (1 - m_options.evenPaceShare) * demandShare;
 }
 
 // When a team's demand rises suddenly, all nodes admit from the same level before they know of each other's admissions: at eight times the
 // limit, they exceeded it by two seconds of the rate. Until the others know, each node therefore admits at most its share of what was
 // available to all.
-bool TeamLimits::isWithinPace(const TrafficTeam& team, const Bucket& bucket, double amount, SteadyTime now)
+bool TeamLimits::isWithinPace(const TrafficTeam& team, const Team& state, SteadyTime now) const
 {
-    // At the start the level is low, and neither this node's share of the demand nor that of the others is known.
-    if (!hasTolerance() || m_peers.empty() || isStartingUp(now))
+    // A node that is cut off from all others has only its own share in the bucket.
+    bool isAlone = std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& it) { return isSilent(it.second, now); });
+    if (!hasTolerance() || isAlone || isStartingUp(now))
         return true;
-    auto unknownToOthers = bucket.pace.recentAmount();
-    double othersUnreported = 0; // Charged to the bucket by estimate.
-    for (const auto& [node, peer] : m_peers) {
-        auto use = peer.uses.find(team.name);
-        if (use != peer.uses.end())
-            othersUnreported += expectedTotal(peer, use->second, bucket.ratePerSecond, now) - use->second.total;
-    }
-    // A node that is cut off leaves the tolerance to the others.
-    auto tolerance = now - latestReportAt() <= m_options.freshFor ? bucket.tolerance : 0;
-    auto available = paceShare(team.name, bucket) * (bucket.level + unknownToOthers + othersUnreported + tolerance);
-    if (unknownToOthers < available)
-        return true;
-    // With many nodes, a node's share may be less than one request. A draw then lets the nodes together admit about what is available.
-    return unknownToOthers <= 0 && std::uniform_real_distribution<double>(0, amount)(m_random) < available * m_options.firstRequestFactor;
+    auto unknownToOthers = state.pace.recentAmount();
+    auto tolerance = state.tolerance * (1 - state.bucket.silentShare());
+    auto available = paceShare(team.name, state) * (state.bucket.level() + unknownToOthers + tolerance);
+    return unknownToOthers < available;
 }
 
 // A node that starts has only its share of the tolerance, which may be less than one request. A draw then lets the starting nodes together
 // use it on average.
-bool TeamLimits::isLevelSufficient(const Bucket& bucket, double required, SteadyTime now)
+bool TeamLimits::isLevelSufficient(double level, double required, SteadyTime now)
 {
-    if (bucket.level > required)
+    if (level > required)
         return true;
-    bool mayDraw = hasTolerance() && isStartingUp(now) && bucket.level > 0;
-    return mayDraw && std::uniform_real_distribution<double>(0, required)(m_random) < bucket.level;
+    bool mayDraw = hasTolerance() && isStartingUp(now) && level > 0;
+    return mayDraw && std::uniform_real_distribution<double>(0, required)(m_random) < level;
+}
+
+TeamLimits::Team& TeamLimits::findOrAdd(const TrafficTeam& team, SteadyTime now)
+{
+    auto it = m_teams.find(team.name);
+    if (it == m_teams.end())
+        it = m_teams.emplace(team.name, Team { .bucket = TeamBucket(initialLevel(team, now), now) }).first;
+    auto& state = it->second;
+    state.ratePerSecond = team.ratePerSecond;
+    state.burst = team.burst;
+    state.tolerance = usedTolerance(team);
+    return state;
 }
 
 std::optional<Milliseconds> TeamLimits::admit(const TrafficTeam& team, double amount, SteadyTime now)
 {
     if (team.ratePerSecond <= 0)
         return std::nullopt;
-    auto& bucket = m_buckets[team.name];
-    if (!bucket.isInitialized)
-        bucket = { .level = initialLevel(team, now), .updatedAt = now };
-    bucket.ratePerSecond = team.ratePerSecond;
-    bucket.burst = team.burst;
-    bucket.tolerance = usableTolerance(team);
-    advance(team.name, bucket, now);
-    updatePace(bucket, now);
-    auto required = requiredLevel(team, amount, now);
-    bool isWithinLimit = isLevelSufficient(bucket, required, now);
-    if (isWithinLimit && isWithinPace(team, bucket, amount, now)) {
-        bucket.level -= amount;
-        bucket.pace.onAdmitted(amount, now);
+    auto& state = findOrAdd(team, now);
+    advance(team.name, state, now);
+    updatePace(state, now);
+    auto required = requiredLevel(team, state, amount, now);
+    auto level = state.bucket.level() - estimateUnreported(team, now);
+    bool isWithinLimit = isLevelSufficient(level, required, now);
+    if (isWithinLimit && isWithinPace(team, state, now)) {
+        state.bucket.charge(amount);
+        state.pace.onAdmitted(amount, now);
         m_ownTotals[team.name] += amount;
         return std::nullopt;
     }
     auto wait = m_options.propagationTime;
     if (!isWithinLimit)
-        wait = Milliseconds(static_cast<std::int64_t>((required - bucket.level) / team.ratePerSecond * 1000));
+        wait = Milliseconds(static_cast<std::int64_t>((required - level) / team.ratePerSecond * 1000));
     return std::clamp(wait, minRetryDelay, maxRetryDelay);
 }
 
+std::optional<TeamLimitState> TeamLimits::state(const TrafficTeam& team, SteadyTime now) const
+{
+    auto it = m_teams.find(team.name);
+    if (it == m_teams.end())
+        return std::nullopt;
+    const auto& known = it->second;
+    auto reportAt = latestReportAt();
+    return TeamLimitState {
+        .level = known.bucket.level(),
+        .unknownToOthers = known.pace.recentAmount(),
+        .estimatedUnreported = estimateUnreported(team, now),
+        .share = paceShare(team.name, known),
+        .silentShare = known.bucket.silentShare(),
+        .reportAge = reportAt == SteadyTime {} ? Milliseconds(0) : toMilliseconds(now - reportAt),
+    };
+}
+
 void TeamLimits::refund(const std::string& team, double amount)
 {
-    auto it = m_buckets.find(team);
-    if (it == m_buckets.end())
+    auto it = m_teams.find(team);
+    if (it == m_teams.end())
         return;
-    it->second.level += amount;
+    it->second.bucket.charge(-amount);
     it->second.pace.onRefunded(amount);
     m_ownTotals[team] -= amount;
 }
@@ -244,21 +303,26 @@
             use.updateRate(total, elapsed);
         use.total = total;
     }
+    chargeReports(now);
 }
 
-// Nodes that have become silent may be cut off and still admit their part of the burst and of the tolerance, of which the others do not
-// learn.
-void TeamLimits::chargeSilentNodes(double silentNodes, double allNodes, SteadyTime now)
+void TeamLimits::chargeReports(SteadyTime now)
 {
-    if (now - m_silentChargedAt > m_options.forgetAfter)
-        m_chargedSilentNodes = 0;
-    auto newlySilent = silentNodes - m_chargedSilentNodes;
-    if (!hasTolerance() || newlySilent <= 0)
-        return;
-    m_chargedSilentNodes = silentNodes;
-    m_silentChargedAt = now;
-    for (auto& [team, bucket] : m_buckets)
-        bucket.level -= newlySilent / allNodes * (bucket.burst + bucket.tolerance);
+    for (auto& [name, team] : m_teams) {
+        advance(name, team, now);
+        team.bucket.keepLevel();
+    }
+}
+
+// Relay nodes forget silent nodes after `forgetAfter`.
+void TeamLimits::updateSilentNodes(unsigned reported, unsigned nodes, unsigned nodesBefore, SteadyTime now)
+{
+    double returned = nodes > nodesBefore ? nodes - nodesBefore : 0;
+    auto stillSilent = std::max(0.0, m_silentNodes - returned);
+    bool keepsSilent = !isForgettable(stillSilent, nodes + stillSilent + 1) && now - m_silentReportedAt <= m_options.forgetManyAfter;
+    if (reported >= stillSilent)
+        m_silentReportedAt = now;
+    m_silentNodes = keepsSilent ? std::max<double>(reported, stillSilent) : reported;
 }
 
 void TeamLimits::onFleetTotals(unsigned nodes, unsigned silentNodes, const std::map<std::string, double>& totals, SteadyTime receivedAt)
@@ -267,17 +331,13 @@
     if (isFirst)
         m_peers.clear();
     m_usesFleetTotals = true;
-    // A single late aggregate makes nodes silent for one report only.
-    chargeSilentNodes(std::min<double>(silentNodes, m_silentNodes), nodes + silentNodes + 1.0, receivedAt);
-    m_silentNodes = silentNodes;
     auto& fleet = m_peers[fleetPeerName];
+    updateSilentNodes(silentNodes, nodes, static_cast<unsigned>(fleet.nodes), receivedAt);
     fleet.nodes = nodes;
     if (!isFirst && receivedAt <= fleet.receivedAt)
         return;
-    auto elapsed = std::max(seconds(receivedAt - fleet.receivedAt), minReportPeriodSeconds);
-    // When relay nodes fail, the latest reports sent to them are lost, and their replacements don't know of that period. The estimate for
-    // it therefore stays charged. Without this, the loss of all relay nodes at once admitted two seconds of a team's rate a second time.
-    bool wasSilent = receivedAt - fleet.receivedAt > m_options.freshFor;
+    auto sinceReport = receivedAt - fleet.receivedAt;
+    bool wasSilent = sinceReport > m_options.freshFor;
     fleet.receivedAt = receivedAt;
     for (const auto& [team, total] : totals) {
         if (isFirst) {
@@ -285,12 +345,11 @@
             continue;
         }
         auto& use = fleet.uses[team];
-        if (wasSilent)
-            use.unreported += std::max(0.0, use.charged - total - use.unreported);
-        else
-            use.updateRate(total + use.unreported, elapsed);
-        use.total = total + use.unreported;
+        if (!wasSilent)
+            use.updateRate(total, std::max(seconds(sinceReport), minReportPeriodSeconds));
+        use.total = total;
     }
+    chargeReports(receivedAt);
 }
 
 } // namespace Onyxnotch
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -4,6 +4,7 @@
 
 #include "core/clock.h"
 #include "modules/limits/spending_pace.h"
+#include "modules/limits/team_bucket.h"
 #include "modules/traffic/traffic_configuration.h"
 #include <map>
 #include <optional>
@@ -24,36 +25,49 @@
 
 struct TeamLimitsOptions {
     Milliseconds freshFor { 750 }; // Reported counters of a peer count as current for this duration: three gossip periods.
-    Milliseconds forgetAfter { 20000 }; // A peer without reports for this duration is removed, and its share goes to the other nodes.
+    // A peer without reports for this duration is removed, and its share goes to the other nodes. If more than `forgettableShare` of all nodes
+    // are silent, they may be cut off together and would use the complete limit as well: then only after `forgetManyAfter`.
+    Milliseconds forgetAfter { 20000 };
+    double forgettableShare { 0.15 };
+    Milliseconds forgetManyAfter { 120000 };
     // Startup phase, within which the counters of all peers should arrive: eight gossip periods. Until it ends, a node spends only the
     // even shares of itself and of the peers that have reported.
     Milliseconds startupPhase { 2000 };
     // Number of nodes in the fleet including this one, until the store provides it. The users' sites have nine.
     unsigned expectedNodes { 10 };
     // A large request may overdraw the level by several seconds of the rate. Meanwhile small requests, each below `smallRequestShare` of
-    // one second's rate, are admitted down to a debt of `smallDebtSeconds` of the rate. They are charged like all others, so the average
-    // rate stays the same. This applies only while all peers report: nodes that are cut off from each other would each accumulate such a
-    // debt.
+    // one second's rate, are admitted down to a debt of `smallDebtSeconds` of the rate, and of a third of the tolerance if there is one. They
+    // are charged like all others, so the average rate stays the same.
     double smallRequestShare { 0.01 };
     double smallDebtSeconds { 0.75 };
-    // Maximum debt, in seconds of the rate. The level falls below zero because an admitted request is charged in full even if it exceeds
-    // the level, and because requests that peers admitted are charged only afterwards. Debt beyond the maximum is dropped.
-    double maximumDebtSeconds { 8 };
     TeamLimitTolerance tolerance {};
-    // Share of the tolerance that admissions may use. The remainder covers the last request of each node, which may exceed what is
-    // left, and nodes that are cut off while they still have a part of the burst.
-    double usedTolerance { 0.8 };
+    // Shares of the tolerance, by its two parts, that admissions may use. The remainder covers the last request of each node, which may
+    // exceed what is left, nodes that start, and reports that are lost.
+    double usedOvershoot { 0.25 };
+    double usedSlack { 0.8 };
+    // With relay nodes: time from a node's last row until the other nodes learn that it is silent. Six gossip periods until a relay node
+    // detects it, and three for the aggregates.
+    Milliseconds silenceDetectedAfter { 2250 };
     // Time until peers know what this node admitted: three gossip periods, through two relay nodes.
     Milliseconds propagationTime { 750 };
     // Share of the pace that is divided evenly over the nodes. The remainder is divided by demand, which is unknown for a node that gets
     // its first requests of a team.
     double evenPaceShare { 0.5 };
-    // Factor on the chance that a node's first request is admitted although it exceeds the node's share. Not all nodes have requests at the
-    // same moment, so their unused shares cover some of it.
-    double firstRequestFactor { 3 };
     std::uint32_t randomSeed { std::random_device {}() }; // Seed for the draws that admit requests which exceed this node's share.
 };
 
+// What a node knows of a team when it decides on a request; amounts in the unit of the limit.
+struct TeamLimitState {
+    double level { 0 }; // What this node and those that it reaches may still admit, as far as others have reported.
+    double unknownToOthers { 0 }; // Amount that this node admitted and that the others cannot know yet.
+    double estimatedUnreported { 0 }; // Estimate of what the others have admitted since their last reports.
+    double share { 0 }; // This node's share of the level (0 to 1).
+    double silentShare { 0 }; // Share of all nodes that do not report (0 to 1).
+    Milliseconds reportAge { 0 }; // Time since the last report of any other node.
+
+    bool operator==(const TeamLimitState&) const = default;
+};
+
 class TeamLimits {
 public:
     TeamLimits(SteadyTime startedAt, const TeamLimitsOptions& options = {});
@@ -72,10 +86,13 @@
     void setFreshFor(Milliseconds freshFor) { m_options.freshFor = freshFor; }
     void setStartupPhase(Milliseconds startupPhase) { m_options.startupPhase = startupPhase; }
     void setPropagationTime(Milliseconds propagationTime) { m_options.propagationTime = propagationTime; }
+    void setSilenceDetectedAfter(Milliseconds duration) { m_options.silenceDetectedAfter = duration; }
     void setTolerance(const TeamLimitTolerance& tolerance) { m_options.tolerance = tolerance; }
     // Sets the best known number of nodes, including this one.
     void setExpectedNodes(unsigned nodes) { m_options.expectedNodes = nodes; }
     unsigned expectedNodes() const { return m_options.expectedNodes; }
+    // State at the last decision on a request of the team. Empty if there was none.
+    std::optional<TeamLimitState> state(const TrafficTeam&, SteadyTime now) const;
     // Totals that this node admitted, to be sent to its peers.
     const std::map<std::string, double>& ownTotals() const { return m_ownTotals; }
 
@@ -84,7 +101,6 @@
         double total { 0 };
         std::optional<double> perSecond { 0 }; // No value if there was only one report yet.
         double charged { 0 }; // Amount of this incarnation that is already charged to the bucket.
-        double unreported { 0 }; // Estimated amount from periods without reports that no reported total includes.
         AverageRate average {};
 
         void updateRate(double newTotal, double elapsedSeconds);
@@ -97,56 +113,70 @@
         std::map<std::string, PeerUse> uses {};
     };
 
-    struct Bucket {
-        double level { 0 };
+    struct Team {
+        TeamBucket bucket;
         double ratePerSecond { 0 };
         double burst { 0 };
         double tolerance { 0 }; // Amount above the limit that admissions may use.
-        SteadyTime updatedAt {};
+        bool isCharged { false }; // Whether the bucket was charged for what peers admitted before.
         SpendingPace pace {};
         SteadyTime paceReportAt {}; // When the report arrived with which the pace was last updated.
-        bool isInitialized { false };
     };
 
-    void advance(const std::string& team, Bucket&, SteadyTime now);
+    // Nodes that do not report, as a share of all (0 to 1), and the time since the reports of those that became silent last.
+    struct Silence {
+        double share { 0 };
+        Milliseconds duration { 0 };
+    };
+
+    Team& findOrAdd(const TrafficTeam&, SteadyTime now);
+    void advance(const std::string& name, Team&, SteadyTime now);
+    void forgetSilentPeers(SteadyTime now);
+    // Sets the number of silent nodes that the relay nodes report, with those that they have forgotten but that may be cut off.
+    void updateSilentNodes(unsigned reported, unsigned nodes, unsigned nodesBefore, SteadyTime now);
+    // Whether so few nodes are silent that their share may go to the others.
+    bool isForgettable(double silentNodes, double allNodes) const { return silentNodes <= allNodes * m_options.forgettableShare; }
+    // Charges all buckets with what the peers have reported.
+    void chargeReports(SteadyTime now);
+    // Amount that the peers reported to have admitted since the last call.
+    double takePeerSpending(const std::string& name, Team&, SteadyTime now);
     bool isStartingUp(SteadyTime now) const { return now - m_startedAt < m_options.startupPhase; }
-    double reportingNodes() const; // Number of reporting nodes, including this one.
+    bool isSilent(const Peer& peer, SteadyTime now) const { return now - peer.receivedAt > m_options.freshFor; }
+    double knownNodes() const; // Number of nodes that report or did so until recently, including this one.
+    Silence silence(SteadyTime now) const;
     // Share of the rate that may be spent. Below 1 during the startup phase: the share of the reporting nodes and this one.
     double spendableShare(SteadyTime now) const;
-    // Share of the rate that is not set aside for silent nodes.
-    double reportingShare() const { return m_silentNodes > 0 ? reportingNodes() / (reportingNodes() + m_silentNodes) : 1; }
     double initialLevel(const TrafficTeam&, SteadyTime now) const;
     bool hasTolerance() const { return m_options.tolerance.overshoot > 0 || m_options.tolerance.slackTokens > 0; }
+    // Amount that the platform tolerates above the limit.
+    double toleratedAmount(const TrafficTeam&) const;
     // Amount above the limit that admissions may use.
-    double usableTolerance(const TrafficTeam&) const;
+    double usedTolerance(const TrafficTeam&) const;
     // Whether another request may be admitted before the peers know what this node admitted last.
-    bool isWithinPace(const TrafficTeam&, const Bucket&, double amount, SteadyTime now);
-    double evenShare() const; // This node's share if all nodes have the same.
-    // Charges what the nodes that have become silent may admit without the others' knowledge.
-    // Charges all buckets once for each node that became silent within the last `forgetAfter`.
-    void chargeSilentNodes(double silentNodes, double allNodes, SteadyTime now);
-    SteadyTime latestReportAt() const; // SteadyTime {} if no peer has reported.
-    // This node's share of what all nodes may admit: partly even, partly by demand.
-    double paceShare(const std::string& team, const Bucket&) const;
-    // Updates the bucket's pace with the age of the latest report of any peer.
-    void updatePace(Bucket&, SteadyTime now) const;
+    bool isWithinPace(const TrafficTeam&, const Team&, SteadyTime now) const;
     // Whether the level admits a request that requires the level to exceed `required`.
-    bool isLevelSufficient(const Bucket&, double required, SteadyTime now);
-    bool allPeersReport(SteadyTime now) const;
+    bool isLevelSufficient(double level, double required, SteadyTime now);
+    // This node's share if all nodes that report have the same.
+    double evenShare(double silentShare) const;
+    SteadyTime latestReportAt() const; // SteadyTime {} if no peer has reported.
+    // This node's share of what all nodes that report may admit: partly even, partly by demand.
+    double paceShare(const std::string& name, const Team&) const;
+    // Updates the team's pace with the age of the latest report of any peer.
+    void updatePace(Team&, SteadyTime now) const;
     // Level that the bucket must exceed to admit a request of this amount.
-    double requiredLevel(const TrafficTeam&, double amount, SteadyTime now) const;
-    double expectedTotal(const Peer&, const PeerUse&, double ratePerSecond, SteadyTime now) const;
+    double requiredLevel(const TrafficTeam&, const Team&, double amount, SteadyTime now) const;
+    // What the peers admitted since their last reports, by their latest rates.
+    double estimateUnreported(const TrafficTeam&, SteadyTime now) const;
 
     TeamLimitsOptions m_options;
     SteadyTime m_startedAt;
-    std::map<std::string, Bucket> m_buckets {};
+    std::map<std::string, Team> m_teams {};
     std::map<std::string, double> m_ownTotals {};
     std::map<std::string, Peer> m_peers {};
     bool m_usesFleetTotals { false };
-    double m_silentNodes { 0 };
-    double m_chargedSilentNodes { 0 }; // Silent nodes whose share of the burst has been charged,
-    SteadyTime m_silentChargedAt {}; // and when that was last done.
     std::minstd_rand m_random;
+    double m_silentNodes { 0 }; // As the relay nodes report or reported before.
+    SteadyTime m_silentReportedAt {}; // When they last reported as many.
 };
 
 } // namespace Onyxnotch
--- a/tests/modules/limits/test_limits_in_surges.cpp
+++ b/tests/modules/limits/test_limits_in_surges.cpp
@@ -1,52 +1,12 @@
-#include "tests/modules/peers/fleet_simulation.h"
+#include "tests/modules/limits/surging_team.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace Onyxnotch;
 using namespace Onyxnotch::Tests;
 
-namespace {
-
 using std::chrono::seconds;
 
-constexpr double usualShare = 1 / 1.8; // The team's usual demand, as a share of its limit.
-const TeamLimitTolerance tolerance { .overshoot = 0.1, .slackTokens = 140000, .window = seconds(8) };
-
-// A team with a limit in tokens a second over all nodes, and a burst of two seconds.
-TrafficTeam team(double ratePerSecond)
-{
-    TrafficTeam result;
-    result.name = "t";
-    result.countsTokens = true;
-    result.ratePerSecond = ratePerSecond;
-    result.burst = 2 * ratePerSecond;
-    return result;
-}
-
-// Tokens that may be admitted in any window: the limit with everything that the platform tolerates above it.
-double maximumAllowed(const TrafficTeam& team)
-{
-    return (8 * team.ratePerSecond + team.burst) * (1 + tolerance.overshoot) + tolerance.slackTokens;
-}
-
-struct FleetSize {
-    unsigned nodes { 60 };
-    double ratePerSecond { 2e6 };
-};
-
-const std::vector<FleetSize> fleetSizes { { .nodes = 9 }, { .nodes = 60 }, { .nodes = 85 }, { .nodes = 300, .ratePerSecond = 1e7 } };
-
-FleetSimulationOptions fleetOptions(const FleetSize& size, std::uint64_t seed)
-{
-    constexpr double tokensPerRequest = 8000;
-    FleetSimulationOptions options { .nodes = size.nodes, .zones = 4, .seed = seed, .lossFraction = 0.03, .tokensPerRequest = tokensPerRequest, .team = team(size.ratePerSecond), .tokensSpread = 1 };
-    options.requestsPerSecond = size.ratePerSecond * usualShare / tokensPerRequest / size.nodes;
-    options.limits.tolerance = tolerance;
-    return options;
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(LimitsInSurges)
 
 // A team with eight times its limit exceeded it by a fifth, because all nodes admitted from the same level before they knew of each other.
