Give starting nodes a reserve of their own and keep them at the pace

Callers saw: with nodes that restart one after the other a team at five times its limit got up to 1.11 of what is allowed in 8 s (60 nodes) and 1.08 (85); after a restart of all, up to 3 in 100 requests of a team at 0.56 of its limit were refused in 2.5 s.

Cause: each starting node took the common level for zero, also where the fleet had overdrawn it, and was exempt from the pace; its reserve was part of that level and used up by the others' reports. A node that had heard of nobody went on with the complete limit after its startup phase.

Change: a reserve by node that the others' use does not touch, the pace from the first report on, a level assumed below zero, the even share as long as nobody was heard. Requests far above the average count in part towards the pace, which costs the bound little and serves more below the limit.

--- a/modules/limits/spending_pace.h
+++ b/modules/limits/spending_pace.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cmath>
 #include <deque>
+#include <limits>
 #include <utility>
 
 namespace Onyxnotch {
@@ -35,14 +36,19 @@
 
 class SpendingPace {
 public:
-    void onAdmitted(double amount, SteadyTime now)
+    // Of an amount far above the average, at most `maximumRecent` counts as recent. Otherwise a single large request would stop a node's small
+    // ones until the other nodes know of it.
+    void onAdmitted(double amount, SteadyTime now, double maximumRecent = std::numeric_limits<double>::max())
     {
-        m_admissions.push_back({ .at = now, .amount = amount });
-        m_recentAmount += amount;
+        m_averageAmount += (amount - m_averageAmount) * (m_averageAmount > 0 ? averageAmountWeight : 1);
+        auto recent = std::min(amount, std::max(maximumRecent, m_averageAmount * largeAmountFactor));
+        m_admissions.push_back({ .at = now, .amount = amount, .recent = recent });
+        m_recentAmount += recent;
         m_sinceUpdate += amount;
         if (m_admissions.size() <= maximumAdmissions)
             return;
         m_admissions[1].amount += m_admissions[0].amount;
+        m_admissions[1].recent += m_admissions[0].recent;
         m_admissions.pop_front();
     }
     // An admitted request did not run: the latest admissions count less.
@@ -51,8 +57,10 @@
         m_sinceUpdate -= amount;
         for (auto it = m_admissions.rbegin(); it != m_admissions.rend() && amount > 0; ++it) {
             auto refunded = std::min(amount, it->amount);
+            auto recent = std::max(0.0, it->recent - refunded);
+            m_recentAmount -= it->recent - recent;
             it->amount -= refunded;
-            m_recentAmount -= refunded;
+            it->recent = recent;
             amount -= refunded;
         }
         m_recentAmount = std::max(0.0, m_recentAmount);
@@ -61,7 +69,7 @@
     void forgetOlderThan(Milliseconds span, SteadyTime now)
     {
         for (; !m_admissions.empty() && now - m_admissions.front().at > span; m_admissions.pop_front())
-            m_recentAmount = std::max(0.0, m_recentAmount - m_admissions.front().amount);
+            m_recentAmount = std::max(0.0, m_recentAmount - m_admissions.front().recent);
         if (m_admissions.empty())
             m_recentAmount = 0;
     }
@@ -81,13 +89,18 @@
     // Bounds the memory of a node that is cut off for long. Beyond it, older admissions are combined and count a little longer.
     static constexpr std::size_t maximumAdmissions = 4096;
 
+    static constexpr double averageAmountWeight = 0.05; // Weight of the latest request.
+    static constexpr double largeAmountFactor = 2;
+
     struct Admission {
         SteadyTime at {};
         double amount { 0 };
+        double recent { 0 }; // Part of the amount that counts as recent.
     };
 
     std::deque<Admission> m_admissions {};
     double m_recentAmount { 0 };
+    double m_averageAmount { 0 }; // Of one request.
     double m_sinceUpdate { 0 }; // Amount admitted since the average was last updated.
     SteadyTime m_updatedAt {};
     AverageRate m_average {};
--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -69,19 +69,35 @@
     return { .share = silentNodes / knownNodes(), .duration = isCutOff ? Milliseconds(0) : duration };
 }
 
+void TeamLimits::setExpectedNodes(unsigned nodes)
+{
+    m_options.expectedNodes = nodes;
+    m_isFleetSizeKnown = true;
+}
+
+bool TeamLimits::isStartingUp(SteadyTime now) const
+{
+    if (!m_isFleetSizeKnown || m_options.expectedNodes <= 1)
+        return now - m_startedAt < m_options.startupPhase;
+    // A node that has not received any report may be cut off from a fleet that uses the complete limit.
+    if (m_peers.empty())
+        return now - m_startedAt < m_options.forgetManyAfter;
+    return now - m_firstReportAt < m_options.startupPhase;
+}
+
 double TeamLimits::spendableShare(SteadyTime now) const
 {
     return isStartingUp(now) ? std::min(1.0, knownNodes() / std::max(1U, m_options.expectedNodes)) : 1;
 }
 
 // What an earlier incarnation of this node admitted is unknown. Shortly after the start, the initial level is therefore only what has
-// accumulated since then, and this node's share of what the platform tolerates above the limit.
+// accumulated since then.
 double TeamLimits::initialLevel(const TrafficTeam& team, SteadyTime now) const
 {
     if (!isStartingUp(now))
         return team.burst;
     auto accumulated = team.ratePerSecond * seconds(now - m_startedAt) * spendableShare(now);
-    return std::min(team.burst, accumulated + usedTolerance(team) * evenShare(0));
+    return std::min(team.burst, accumulated - toleratedAmount(team) * m_options.assumedDebt);
 }
 
 // The aggregate entry never expires: it is less likely that the complete fleet is down than that this node is cut off from it.
@@ -201,7 +217,7 @@
 {
     // A node that is cut off from all others has only its own share in the bucket.
     bool isAlone = std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& it) { return isSilent(it.second, now); });
-    if (!hasTolerance() || isAlone || isStartingUp(now))
+    if (!hasTolerance() || isAlone)
         return true;
     auto unknownToOthers = state.pace.recentAmount();
     auto tolerance = state.tolerance * (1 - state.bucket.silentShare());
@@ -209,21 +225,40 @@
     return unknownToOthers < available;
 }
 
-// A node that starts has only its share of the tolerance, which may be less than one request. A draw then lets the starting nodes together
-// use it on average.
-bool TeamLimits::isLevelSufficient(double level, double required, SteadyTime now)
+bool TeamLimits::isWithinStartReserve(const TrafficTeam& team, Team& state, double amount, SteadyTime now)
 {
-    if (level > required)
+    if (!hasTolerance() || !isStartingUp(now))
+        return false;
+    auto& reserve = state.startReserve;
+    auto share = evenShare(0);
+    auto refill = team.ratePerSecond * share * m_options.startRefill * seconds(now - reserve.updatedAt);
+    reserve.level = std::min(reserve.level + refill, (startTolerance(team) + team.burst) * share);
+    reserve.updatedAt = now;
+    auto available = reserve.level + team.burst * share * m_options.startOverdraw;
+    if (reserve.level > 0 && amount <= available)
         return true;
-    bool mayDraw = hasTolerance() && isStartingUp(now) && level > 0;
-    return mayDraw && std::uniform_real_distribution<double>(0, required)(m_random) < level;
+    // A node's reserve may be less than one request. A draw then lets the starting nodes together use theirs on average.
+    return reserve.level > 0 && std::uniform_real_distribution<double>(0, amount)(m_random) < available;
+}
+
+void TeamLimits::chargeStartReserve(Team& team, double amount) const
+{
+    auto lowest = -team.burst * evenShare(0) * m_options.startDebtLimit;
+    team.startReserve.level = std::max(team.startReserve.level - amount, lowest);
+}
+
+double TeamLimits::maximumPaceAmount(const Team& team) const
+{
+    return team.burst * evenShare(team.bucket.silentShare()) * m_options.largeRequestShare;
 }
 
 TeamLimits::Team& TeamLimits::findOrAdd(const TrafficTeam& team, SteadyTime now)
 {
     auto it = m_teams.find(team.name);
-    if (it == m_teams.end())
-        it = m_teams.emplace(team.name, Team { .bucket = TeamBucket(initialLevel(team, now), now) }).first;
+    if (it == m_teams.end()) {
+        StartReserve reserve { .level = startTolerance(team) * evenShare(0), .updatedAt = m_startedAt };
+        it = m_teams.emplace(team.name, Team { .bucket = TeamBucket(initialLevel(team, now), now), .startReserve = reserve }).first;
+    }
     auto& state = it->second;
     state.ratePerSecond = team.ratePerSecond;
     state.burst = team.burst;
@@ -240,10 +275,12 @@
     updatePace(state, now);
     auto required = requiredLevel(team, state, amount, now);
     auto level = state.bucket.level() - estimateUnreported(team, now);
-    bool isWithinLimit = isLevelSufficient(level, required, now);
-    if (isWithinLimit && isWithinPace(team, state, now)) {
+    bool isWithinLimit = level > required;
+    bool isWithinStart = isWithinStartReserve(team, state, amount, now);
+    if (isWithinStart || (isWithinLimit && isWithinPace(team, state, now))) {
         state.bucket.charge(amount);
-        state.pace.onAdmitted(amount, now);
+        chargeStartReserve(state, amount);
+        state.pace.onAdmitted(amount, now, maximumPaceAmount(state));
         m_ownTotals[team.name] += amount;
         return std::nullopt;
     }
@@ -276,6 +313,7 @@
     if (it == m_teams.end())
         return;
     it->second.bucket.charge(-amount);
+    it->second.startReserve.level += amount;
     it->second.pace.onRefunded(amount);
     m_ownTotals[team] -= amount;
 }
@@ -284,6 +322,7 @@
 {
     if (m_usesFleetTotals)
         return;
+    recordFirstReport(now);
     bool isUnknown = !m_peers.contains(node);
     auto& peer = m_peers[node];
     bool isFirst = peer.lifetime != lifetime;
@@ -306,6 +345,12 @@
     chargeReports(now);
 }
 
+void TeamLimits::recordFirstReport(SteadyTime now)
+{
+    if (m_firstReportAt == SteadyTime {})
+        m_firstReportAt = now;
+}
+
 void TeamLimits::chargeReports(SteadyTime now)
 {
     for (auto& [name, team] : m_teams) {
@@ -331,6 +376,7 @@
     if (isFirst)
         m_peers.clear();
     m_usesFleetTotals = true;
+    recordFirstReport(receivedAt);
     auto& fleet = m_peers[fleetPeerName];
     updateSilentNodes(silentNodes, nodes, static_cast<unsigned>(fleet.nodes), receivedAt);
     fleet.nodes = nodes;
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -45,6 +45,17 @@
     // exceed what is left, nodes that start, and reports that are lost.
     double usedOvershoot { 0.25 };
     double usedSlack { 0.8 };
+    // Share of the tolerance that all nodes together may use at their start, before they know what the others admit.
+    double startTolerance { 1.4 };
+    double startRefill { 0.7 };
+    // Of a node's even share of the burst: by how much one request may exceed the node's start reserve without a draw, and the largest debt
+    // of the reserve. Debt beyond that is dropped.
+    double startOverdraw { 0.5 };
+    double startDebtLimit { 0.1 };
+    // Share of the tolerance that a starting node assumes to be in use, besides the complete burst.
+    double assumedDebt { 0.05 };
+    // What a request far above the average counts towards the pace, as a share of a node's even share of the burst (see SpendingPace).
+    double largeRequestShare { 0.2 };
     // With relay nodes: time from a node's last row until the other nodes learn that it is silent. Six gossip periods until a relay node
     // detects it, and three for the aggregates.
     Milliseconds silenceDetectedAfter { 2250 };
@@ -88,8 +99,8 @@
     void setPropagationTime(Milliseconds propagationTime) { m_options.propagationTime = propagationTime; }
     void setSilenceDetectedAfter(Milliseconds duration) { m_options.silenceDetectedAfter = duration; }
     void setTolerance(const TeamLimitTolerance& tolerance) { m_options.tolerance = tolerance; }
-    // Sets the best known number of nodes, including this one.
-    void setExpectedNodes(unsigned nodes) { m_options.expectedNodes = nodes; }
+    // Sets the best known number of nodes, including this one. From then on a node that has not received any report has only its even share.
+    void setExpectedNodes(unsigned nodes);
     unsigned expectedNodes() const { return m_options.expectedNodes; }
     // State at the last decision on a request of the team. Empty if there was none.
     std::optional<TeamLimitState> state(const TrafficTeam&, SteadyTime now) const;
@@ -113,6 +124,12 @@
         std::map<std::string, PeerUse> uses {};
     };
 
+    // What a node may admit during the startup phase whatever the others admit: its even share of the tolerance and of the rate.
+    struct StartReserve {
+        double level { 0 };
+        SteadyTime updatedAt {};
+    };
+
     struct Team {
         TeamBucket bucket;
         double ratePerSecond { 0 };
@@ -121,6 +138,7 @@
         bool isCharged { false }; // Whether the bucket was charged for what peers admitted before.
         SpendingPace pace {};
         SteadyTime paceReportAt {}; // When the report arrived with which the pace was last updated.
+        StartReserve startReserve {};
     };
 
     // Nodes that do not report, as a share of all (0 to 1), and the time since the reports of those that became silent last.
@@ -131,6 +149,7 @@
 
     Team& findOrAdd(const TrafficTeam&, SteadyTime now);
     void advance(const std::string& name, Team&, SteadyTime now);
+    void recordFirstReport(SteadyTime now);
     void forgetSilentPeers(SteadyTime now);
     // Sets the number of silent nodes that the relay nodes report, with those that they have forgotten but that may be cut off.
     void updateSilentNodes(unsigned reported, unsigned nodes, unsigned nodesBefore, SteadyTime now);
@@ -140,7 +159,8 @@
     void chargeReports(SteadyTime now);
     // Amount that the peers reported to have admitted since the last call.
     double takePeerSpending(const std::string& name, Team&, SteadyTime now);
-    bool isStartingUp(SteadyTime now) const { return now - m_startedAt < m_options.startupPhase; }
+    // Whether the state of the other nodes is still unknown or incomplete.
+    bool isStartingUp(SteadyTime now) const;
     bool isSilent(const Peer& peer, SteadyTime now) const { return now - peer.receivedAt > m_options.freshFor; }
     double knownNodes() const; // Number of nodes that report or did so until recently, including this one.
     Silence silence(SteadyTime now) const;
@@ -152,10 +172,15 @@
     double toleratedAmount(const TrafficTeam&) const;
     // Amount above the limit that admissions may use.
     double usedTolerance(const TrafficTeam&) const;
+    // Amount above the limit that all nodes may use at their start.
+    double startTolerance(const TrafficTeam& team) const { return toleratedAmount(team) * m_options.startTolerance; }
     // Whether another request may be admitted before the peers know what this node admitted last.
     bool isWithinPace(const TrafficTeam&, const Team&, SteadyTime now) const;
-    // Whether the level admits a request that requires the level to exceed `required`.
-    bool isLevelSufficient(double level, double required, SteadyTime now);
+    void chargeStartReserve(Team&, double amount) const;
+    // What one request counts towards the pace, at most.
+    double maximumPaceAmount(const Team&) const;
+    // Whether the start reserve admits another request.
+    bool isWithinStartReserve(const TrafficTeam&, Team&, double amount, SteadyTime now);
     // This node's share if all nodes that report have the same.
     double evenShare(double silentShare) const;
     SteadyTime latestReportAt() const; // SteadyTime {} if no peer has reported.
@@ -170,6 +195,8 @@
 
     TeamLimitsOptions m_options;
     SteadyTime m_startedAt;
+    SteadyTime m_firstReportAt {}; // SteadyTime {} if there was none.
+    bool m_isFleetSizeKnown { false };
     std::map<std::string, Team> m_teams {};
     std::map<std::string, double> m_ownTotals {};
     std::map<std::string, Peer> m_peers {};
--- a/tests/modules/limits/test_limits_with_missing_nodes.cpp
+++ b/tests/modules/limits/test_limits_with_missing_nodes.cpp
@@ -109,6 +109,115 @@
     }
 }
 
+// Guards against starting nodes that spend as if nothing had been used, while the others use up the limit.
+BOOST_AUTO_TEST_CASE(limit_holds_while_nodes_restart_in_turn_at_any_spacing)
+{
+    for (const auto& size : smallFleets) {
+        for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+            Draw draw(seed);
+            auto options = fleetOptions(size, seed);
+            FleetSimulation fleet(options);
+            fleet.run(seconds(5));
+            fleet.demandFactor = surge / usualShare;
+            auto spacing = draw.duration(40, 400);
+            auto concurrent = static_cast<unsigned>(draw.between(1, 4));
+            for (unsigned n = 0; n < size.nodes + concurrent; ++n) {
+                if (n < size.nodes)
+                    fleet.kill(n);
+                fleet.run(spacing);
+                if (n + 1 >= concurrent && n + 1 - concurrent < size.nodes)
+                    fleet.restart(n + 1 - concurrent);
+            }
+            fleet.run(seconds(2));
+            checkLimit(fleet, options, seed);
+        }
+    }
+}
+
+// Guards against a team that gets more than its limit because all nodes restart while its demand is far above it.
+BOOST_AUTO_TEST_CASE(limit_holds_when_all_nodes_restart_in_a_surge)
+{
+    for (const auto& size : smallFleets) {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            Draw draw(seed);
+            auto options = fleetOptions(size, seed);
+            FleetSimulation fleet(options);
+            fleet.run(seconds(5));
+            fleet.demandFactor = surge / usualShare;
+            fleet.run(draw.duration(0, 3000));
+            for (unsigned n = 0; n < size.nodes; ++n)
+                fleet.kill(n);
+            fleet.run(draw.duration(300, 1500));
+            for (unsigned n = 0; n < size.nodes; ++n)
+                fleet.restart(n);
+            fleet.run(seconds(7));
+            checkLimit(fleet, options, seed);
+        }
+    }
+}
+
+// A node that has not heard of any other after its startup phase used the complete limit.
+BOOST_AUTO_TEST_CASE(a_node_without_any_report_uses_only_its_even_share)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    TeamLimits limits(start, { .tolerance = tolerance, .randomSeed = 1 });
+    limits.setExpectedNodes(10);
+    auto limited = team(1e6);
+    double admitted = 0;
+    for (int n = 10000; n < 30000; n += 10)
+        admitted += limits.admit(limited, 10000, start + Milliseconds(n)) ? 0 : 10000;
+    // Tokens of 30 s, the burst of two seconds, and what the platform tolerates.
+    BOOST_TEST(admitted < (32 * 1e6 + 1.14e6) / 10 + 10000);
+    BOOST_TEST(admitted > 20 * 1e6 / 10);
+}
+
+// A single large request stopped a node's small ones until the others knew of it, although the team was far below its limit.
+BOOST_AUTO_TEST_CASE(a_large_request_does_not_stop_the_small_ones)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    SpendingPace pace;
+    for (int n = 0; n < 10; ++n)
+        pace.onAdmitted(100, start, 500);
+    pace.onAdmitted(10000, start, 500);
+    BOOST_TEST(pace.recentAmount() < 10 * 100 + 2000);
+    // Where all requests are large, each one counts.
+    SpendingPace large;
+    for (int n = 0; n < 10; ++n)
+        large.onAdmitted(10000, start, 500);
+    BOOST_TEST(large.recentAmount() == 100000);
+    large.onRefunded(10000);
+    BOOST_TEST(large.recentAmount() == 90000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// A suite and CTest test of its own, so that KNOWN-RED.txt can list it.
+BOOST_AUTO_TEST_SUITE(LimitsAfterRestarts)
+
+// Guards against refusals below the limit before the restarted nodes know of each other.
+BOOST_AUTO_TEST_CASE(teams_below_their_limit_are_served_after_any_restart_of_all_nodes)
+{
+    for (const auto& size : smallFleets) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Draw draw(seed);
+            FleetSimulation fleet(fleetOptions(size, seed));
+            fleet.run(draw.duration(4500, 5500));
+            for (unsigned n = 0; n < size.nodes; ++n)
+                fleet.kill(n);
+            fleet.run(draw.duration(300, 4000));
+            for (unsigned n = 0; n < size.nodes; ++n)
+                fleet.restart(n);
+            auto requestedBefore = fleet.requested;
+            auto refusedBefore = fleet.refused;
+            fleet.run(Milliseconds(2500));
+            BOOST_TEST_CONTEXT(size.nodes << " nodes, seed " << seed)
+            {
+                BOOST_TEST((fleet.refused - refusedBefore) * 100 <= fleet.requested - requestedBefore);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(TeamBucketTests)
