Wait longer for late reports before a node takes itself for cut off

Callers would see: a node that hears of the others a second late, as busy nodes do, takes its small even share for a bucket of its own and refuses below the limit.

Cause: with the shares of silent nodes kept apart, being late costs more than an estimate; the time of four gossip periods (three in direct fleets) came from the estimate. Found by reading, no run of real processes shows it. Without a tolerance there is no pace: unchanged.

--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -41,7 +41,7 @@
         auto use = peer.uses.find(team.name);
         if (isSilent(peer, now) || use == peer.uses.end())
             continue;
-        unreported += use->second.perSecond.value_or(evenRate * peer.nodes) * seconds(now - peer.receivedAt);
+        unreported += use->second.perSecond.value_or(evenRate * peer.nodes) * seconds(std::min<SteadyTime::duration>(now - peer.receivedAt, m_options.freshFor));
     }
     return unreported;
 }
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -161,7 +161,8 @@
     double takePeerSpending(const std::string& name, Team&, SteadyTime now);
     // Whether the state of the other nodes is still unknown or incomplete.
     bool isStartingUp(SteadyTime now) const;
-    bool isSilent(const Peer& peer, SteadyTime now) const { return now - peer.receivedAt > m_options.freshFor; }
+    // Whether a peer may be cut off. Busy nodes report late; where the pace bounds what this node admits, it waits for them longer.
+    bool isSilent(const Peer& peer, SteadyTime now) const { return now - peer.receivedAt > m_options.freshFor * (hasTolerance() ? 2 : 1); }
     double knownNodes() const; // Number of nodes that report or did so until recently, including this one.
     Silence silence(SteadyTime now) const;
     // Share of the rate that may be spent. Below 1 during the startup phase: the share of the reporting nodes and this one.
