--- a/modules/limits/team_bucket.h
+++ b/modules/limits/team_bucket.h
@@ -19,6 +19,7 @@
 public:
     TeamBucket(double level, SteadyTime now, const TeamBucketOptions& options = {});
 
+    // Sets the team's limit. Until it is known, the bucket is not refilled.
     void setLimit(double ratePerSecond, double burst);
     // Refills for the time since the last call and charges `spent` for the same time. Only the difference is limited to the burst.
     void advance(double spent, SteadyTime now);
@@ -31,7 +32,6 @@
     void setSilentShare(double share, Milliseconds silence, SteadyTime now);
 
     double level() const { return m_level; }
-    double ratePerSecond() const { return m_ratePerSecond; }
     double silentShare() const { return m_silentShare; }
 
 private:
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -36,7 +36,7 @@
     // Number of nodes in the fleet including this one, until the store provides it. The users' sites have nine.
     unsigned expectedNodes { 10 };
     // A large request may overdraw the level by several seconds of the rate. Meanwhile small requests, each below `smallRequestShare` of
-    // one second's rate, are admitted down to a debt of `smallDebtSeconds` of the rate, and of a third of the tolerance if there is one. They
+    // one second's rate, are admitted down to a debt of `smallDebtSeconds` of the rate, and of 0.3 of the tolerance if there is one. They
     // are charged like all others, so the average rate stays the same.
     double smallRequestShare { 0.01 };
     double smallDebtSeconds { 0.75 };
@@ -45,7 +45,8 @@
     // exceed what is left, nodes that start, and reports that are lost.
     double usedOvershoot { 0.25 };
     double usedSlack { 0.8 };
-    // Share of the tolerance that all nodes together may use at their start, before they know what the others admit.
+    // What all nodes together may use at their start, whatever the others admit: a share of the tolerance at once, and a share of the rate
+    // until the end of the startup phase.
     double startTolerance { 1.4 };
     double startRefill { 0.7 };
     // Of a node's even share of the burst: by how much one request may exceed the node's start reserve without a draw, and the largest debt
@@ -93,7 +94,7 @@
     // only its growth counts. `silentNodes` reported until recently: they may be cut off and still admit their share. After the first
     // call, reports of single peers are ignored.
     void onFleetTotals(unsigned nodes, unsigned silentNodes, const std::map<std::string, double>& totals, SteadyTime receivedAt);
-    // For fleets in which a peer reports less often than each gossip period.
+    // The following durations depend on how often a peer reports.
     void setFreshFor(Milliseconds freshFor) { m_options.freshFor = freshFor; }
     void setStartupPhase(Milliseconds startupPhase) { m_options.startupPhase = startupPhase; }
     void setPropagationTime(Milliseconds propagationTime) { m_options.propagationTime = propagationTime; }
