--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -1,12 +1,10 @@
 #include "modules/forward/exchange.h"
 
-#include "core/log.h"
 #include "core/net/http_status.h"
 #include "modules/admission/deadline_admission.h"
 #include "modules/forward/head_fields.h"
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 
 namespace Onyxnotch {
 
@@ -117,18 +115,6 @@
     return LocalResponse { .status = HttpStatus::tooManyRequests, .retryAfter = wait, .reason = "team_limit" };
 }
 
-void Exchange::logTeamLimit()
-{
-    auto now = steadyNow();
-    auto state = m_context.teams.state(*m_team, now);
-    if (!state || !m_context.teamLimitLines.take(now))
-        return;
-    constexpr int permille = 1000;
-    logEvent(LogLevel::Info, "team_limited",
-        { { "request_id", m_requestId }, { "team", m_team->name }, { "tokens", m_teamCharge }, { "level", std::lround(state->level) }, { "unknown_to_others", std::lround(state->unknownToOthers) },
-            { "unreported", std::lround(state->estimatedUnreported) }, { "share_permille", std::lround(state->share * permille) }, { "silent_permille", std::lround(state->silentShare * permille) }, { "report_age_ms", state->reportAge.count() } });
-}
-
 asio::awaitable<ExchangeResult> Exchange::run()
 {
     if (auto refusal = findRoute())
--- a/modules/forward/exchange_notes.cpp
+++ b/modules/forward/exchange_notes.cpp
@@ -20,6 +20,18 @@
 
 } // namespace
 
+void Exchange::logTeamLimit()
+{
+    auto now = steadyNow();
+    auto state = m_context.teams.state(*m_team, now);
+    if (!state || !m_context.teamLimitLines.take(now))
+        return;
+    constexpr int permille = 1000;
+    logEvent(LogLevel::Info, "team_limited",
+        { { "request_id", m_requestId }, { "team", m_team->name }, { "tokens", m_teamCharge }, { "level", std::lround(state->level) }, { "unknown_to_others", std::lround(state->unknownToOthers) },
+            { "unreported", std::lround(state->estimatedUnreported) }, { "share_permille", std::lround(state->share * permille) }, { "silent_permille", std::lround(state->silentShare * permille) }, { "report_age_ms", state->reportAge.count() } });
+}
+
 void Exchange::recordVersionSent(const ListedEndpoint& endpoint)
 {
     m_firstEventAt = {};
