Keep a starting node's reserve apart from its pace

One line a refusal: node 6 admitted a request of 41,270 tokens from its reserve at 85 ms, then refused three, two of them while the common level was above 100,000.

Causes, all of a node that has just started: what came from the reserve counted towards the pace as well; a first request has no average to be far above, so a large one counted whole; its average demand was zero, so its share of the pace was half of the even one; most of the reserve came with the time, the refusals in the first half second.

Change: the reserve's part does not count towards the pace; a first request counts as a large one until the second one shows what is usual; the share is even until the average covers some seconds; the reserve is 3.2 of the tolerance at once and 0.2 of the rate (1.4 and 0.7 before).

--- a/modules/limits/spending_pace.h
+++ b/modules/limits/spending_pace.h
@@ -25,6 +25,7 @@
     }
     // Divided by the weight of the observed time, so that the average is not too low at the start.
     double perSecond() const { return m_weight > 0 ? std::max(0.0, m_perSecond / m_weight) : 0; }
+    double weight() const { return m_weight; }
 
 private:
     // With one request a second at each node, a shorter time would make the average depend on single requests.
@@ -37,17 +38,20 @@
 class SpendingPace {
 public:
     // Of an amount far above the average, at most `maximumRecent` counts as recent. Otherwise a single large request would stop a node's small
-    // ones until the other nodes know of it.
-    void onAdmitted(double amount, SteadyTime now, double maximumRecent = std::numeric_limits<double>::max())
+    // ones until the other nodes know of it. `reserved` is the part of the amount that comes from a reserve of this node; it does not count.
+    void onAdmitted(double amount, SteadyTime now, double maximumRecent = std::numeric_limits<double>::max(), double reserved = 0)
     {
-        m_averageAmount += (amount - m_averageAmount) * (m_averageAmount > 0 ? averageAmountWeight : 1);
-        auto recent = std::min(amount, std::max(maximumRecent, m_averageAmount * largeAmountFactor));
-        m_admissions.push_back({ .at = now, .amount = amount, .recent = recent });
-        m_recentAmount += recent;
+        Admission admission { .at = now, .amount = amount, .reserved = reserved };
+        updateAverageAmount(amount, maximumRecent);
+        // A single request does not show whether it is far above the average.
+        admission.recent = recentPart(admission, m_requests == 1 ? 0 : m_averageAmount, maximumRecent);
+        m_admissions.push_back(admission);
+        m_recentAmount += admission.recent;
         m_sinceUpdate += amount;
         if (m_admissions.size() <= maximumAdmissions)
             return;
         m_admissions[1].amount += m_admissions[0].amount;
+        m_admissions[1].reserved += m_admissions[0].reserved;
         m_admissions[1].recent += m_admissions[0].recent;
         m_admissions.pop_front();
     }
@@ -84,6 +88,8 @@
     // Amount admitted within the span of the last forgetOlderThan().
     double recentAmount() const { return m_recentAmount; }
     double perSecond() const { return m_average.perSecond(); }
+    // Weight of the time that perSecond() is an average of: 0 at the start, 1 after several seconds.
+    double averageWeight() const { return m_average.weight(); }
 
 private:
     // Bounds the memory of a node that is cut off for long. Beyond it, older admissions are combined and count a little longer.
@@ -95,12 +101,40 @@
     struct Admission {
         SteadyTime at {};
         double amount { 0 };
+        double reserved { 0 }; // Part of the amount that came from a reserve.
         double recent { 0 }; // Part of the amount that counts as recent.
     };
 
+    static double recentPart(const Admission& it, double averageAmount, double maximumRecent)
+    {
+        return std::min(it.amount - it.reserved, std::max(maximumRecent, averageAmount * largeAmountFactor));
+    }
+
+    // The average starts with the smaller one of the first two requests, by which the first one is then counted again.
+    void updateAverageAmount(double amount, double maximumRecent)
+    {
+        ++m_requests;
+        if (m_requests <= 2) {
+            m_averageAmount = m_requests == 1 ? amount : std::min(m_averageAmount, amount);
+            recountFirst(amount, maximumRecent);
+        } else
+            m_averageAmount += (amount - m_averageAmount) * averageAmountWeight;
+    }
+
+    void recountFirst(double averageAmount, double maximumRecent)
+    {
+        if (m_admissions.empty())
+            return;
+        auto& first = m_admissions.front();
+        m_recentAmount -= first.recent;
+        first.recent = recentPart(first, averageAmount, maximumRecent);
+        m_recentAmount += first.recent;
+    }
+
     std::deque<Admission> m_admissions {};
     double m_recentAmount { 0 };
     double m_averageAmount { 0 }; // Of one request.
+    std::uint64_t m_requests { 0 };
     double m_sinceUpdate { 0 }; // Amount admitted since the average was last updated.
     SteadyTime m_updatedAt {};
     AverageRate m_average {};
--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -207,7 +207,9 @@
     auto even = evenShare(team.bucket.silentShare());
     auto demand = team.pace.perSecond() + othersPerSecond;
     auto demandShare = demand > 0 ? team.pace.perSecond() / demand : even;
-    return m_options.evenPaceShare * even + (1 - m_options.evenPaceShare) * demandShare;
+    // A node that has just started does not know its demand yet, and would take it for zero.
+    auto demandWeight = (1 - m_options.evenPaceShare) * team.pace.averageWeight();
+    return even + demandWeight * (demandShare - even);
 }
 
 // When a team's demand rises suddenly, all nodes admit from the same level before they know of each other's admissions: at eight times the
@@ -241,10 +243,12 @@
     return reserve.level > 0 && std::uniform_real_distribution<double>(0, amount)(m_random) < available;
 }
 
-void TeamLimits::chargeStartReserve(Team& team, double amount) const
+double TeamLimits::chargeStartReserve(Team& team, double amount) const
 {
     auto lowest = -team.burst * evenShare(0) * m_options.startDebtLimit;
+    auto covered = std::clamp(team.startReserve.level, 0.0, amount);
     team.startReserve.level = std::max(team.startReserve.level - amount, lowest);
+    return covered;
 }
 
 double TeamLimits::maximumPaceAmount(const Team& team) const
@@ -279,8 +283,8 @@
     bool isWithinStart = isWithinStartReserve(team, state, amount, now);
     if (isWithinStart || (isWithinLimit && isWithinPace(team, state, now))) {
         state.bucket.charge(amount);
-        chargeStartReserve(state, amount);
-        state.pace.onAdmitted(amount, now, maximumPaceAmount(state));
+        auto reserved = chargeStartReserve(state, amount);
+        state.pace.onAdmitted(amount, now, maximumPaceAmount(state), isWithinStart ? reserved : 0);
         m_ownTotals[team.name] += amount;
         return std::nullopt;
     }
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -45,10 +45,11 @@
     // exceed what is left, nodes that start, and reports that are lost.
     double usedOvershoot { 0.25 };
     double usedSlack { 0.8 };
-    // What all nodes together may use at their start, whatever the others admit: a share of the tolerance at once, and a share of the rate
-    // until the end of the startup phase.
-    double startTolerance { 1.4 };
-    double startRefill { 0.7 };
+    // What all nodes together may use at their start, whatever the others admit: a multiple of the tolerance at once, and a share of the rate
+    // until the end of the startup phase. Most of it at once: before the nodes know of each other, requests that come together at one node
+    // have nothing else.
+    double startTolerance { 3.2 };
+    double startRefill { 0.2 };
     // Of a node's even share of the burst: by how much one request may exceed the node's start reserve without a draw, and the largest debt
     // of the reserve. Debt beyond that is dropped.
     double startOverdraw { 0.5 };
@@ -178,7 +179,8 @@
     double startTolerance(const TrafficTeam& team) const { return toleratedAmount(team) * m_options.startTolerance; }
     // Whether another request may be admitted before the peers know what this node admitted last.
     bool isWithinPace(const TrafficTeam&, const Team&, SteadyTime now) const;
-    void chargeStartReserve(Team&, double amount) const;
+    // Returns the part of the amount that the start reserve covered.
+    double chargeStartReserve(Team&, double amount) const;
     // What one request counts towards the pace, at most.
     double maximumPaceAmount(const Team&) const;
     // Whether the start reserve admits another request.
--- a/tests/modules/limits/test_limits_with_missing_nodes.cpp
+++ b/tests/modules/limits/test_limits_with_missing_nodes.cpp
@@ -189,6 +189,40 @@
     BOOST_TEST(large.recentAmount() == 90000);
 }
 
+// A node's first request, large by chance, stopped the following ones until the others knew of it.
+BOOST_AUTO_TEST_CASE(a_first_large_request_does_not_stop_the_next_ones)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    SpendingPace pace;
+    pace.onAdmitted(40000, start, 5000);
+    BOOST_TEST(pace.recentAmount() == 5000);
+    pace.onAdmitted(100, start, 5000);
+    BOOST_TEST(pace.recentAmount() == 5100);
+    // What comes from the node's reserve leaves its share of the common level as it was.
+    SpendingPace reserved;
+    reserved.onAdmitted(4000, start, 5000, 3000);
+    BOOST_TEST(reserved.recentAmount() == 1000);
+    reserved.onRefunded(4000);
+    BOOST_TEST(reserved.recentAmount() == 0);
+}
+
+// A starting node took its demand for zero, and so had half of its share.
+BOOST_AUTO_TEST_CASE(a_node_that_has_just_started_has_its_even_share)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    TeamLimits limits(start, { .tolerance = tolerance, .randomSeed = 1 });
+    limits.setExpectedNodes(10);
+    auto limited = team(1e6);
+    limits.admit(limited, 1000, start);
+    for (int n = 1; n <= 4; ++n)
+        limits.onFleetTotals(9, 0, { { limited.name, n * 20000.0 } }, start + Milliseconds(100 * n));
+    limits.admit(limited, 1000, start + Milliseconds(400));
+    auto state = limits.state(limited, start + Milliseconds(400));
+    BOOST_REQUIRE(state);
+    BOOST_TEST(state->share > 0.09);
+    BOOST_TEST(state->share < 0.11);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // A suite and CTest test of its own, so that KNOWN-RED.txt can list it.
