Compute the mean shortfall of endpoints without its distribution

Cause: at each step, four times a second and on the thread that renews the lease, the scaler compared the loss of up to 976 targets a zone, each by the distribution of the shortfall over all needed endpoints: with 2,024 needed in six zones some 976 x 2 x 2,024 x 6 = 24 million additions and twelve vectors of 16 KB a target. The cost grows as the square of the endpoints.

Change: the loss needs the mean only. It is computed from the different sums of groups, seven with six zones of one size, and once a target.

Found by reading; not measured at full size. The new test compares the mean with the sum of the chances.

--- a/modules/duty/endpoint_scaler.cpp
+++ b/modules/duty/endpoint_scaler.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace Onyxnotch {
 
@@ -189,13 +188,17 @@
         std::vector<EndpointGroup> groups;
         for (const auto& [name, zone] : state.zones)
             groups.push_back({ .endpoints = now >= zone.cooldownUntil ? reclaimableTarget : zone.reclaimable, .chanceOfLoss = chance });
-        auto chances = shortfallChances(state.needed, groups);
-        return m_options.shortageCostFactor * std::accumulate(chances.begin(), chances.end(), 0.0);
+        return m_options.shortageCostFactor * expectedShortfall(state.needed, groups);
     };
-    auto minimumPerZone = std::max(1U, bounds.minimum);
-    auto reclaimableTarget = minimumPerZone;
-    while (reclaimableTarget < bounds.maximum && loss(reclaimableTarget) - loss(reclaimableTarget + 1) > stepPrice)
+    auto reclaimableTarget = std::max(1U, bounds.minimum);
+    auto currentLoss = loss(reclaimableTarget);
+    while (reclaimableTarget < bounds.maximum) {
+        auto nextLoss = loss(reclaimableTarget + 1);
+        if (currentLoss - nextLoss <= stepPrice)
+            break;
+        currentLoss = nextLoss;
         ++reclaimableTarget;
+    }
     return reclaimableTarget;
 }
 
--- a/modules/duty/reclaim_outlook.cpp
+++ b/modules/duty/reclaim_outlook.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace Onyxnotch {
 
@@ -33,6 +34,24 @@
     return 1 - std::exp(-rate.events / rate.zoneSeconds * seconds);
 }
 
+double expectedShortfall(unsigned needed, const std::vector<EndpointGroup>& groups)
+{
+    // Probability of each number of endpoints that are left. Groups of equal size give few different numbers.
+    std::map<unsigned, double> left { { 0, 1 } };
+    for (const auto& group : groups) {
+        std::map<unsigned, double> next;
+        for (const auto& [endpoints, chance] : left) {
+            next[endpoints] += chance * group.chanceOfLoss;
+            next[std::min(needed, endpoints + group.endpoints)] += chance * (1 - group.chanceOfLoss);
+        }
+        left = std::move(next);
+    }
+    double missing = 0;
+    for (const auto& [endpoints, chance] : left)
+        missing += chance * (needed - endpoints);
+    return missing;
+}
+
 std::vector<double> shortfallChances(unsigned needed, const std::vector<EndpointGroup>& groups)
 {
     // left[n] is the probability that exactly n endpoints are left. More than `needed` counts as `needed`.
--- a/modules/duty/reclaim_outlook.h
+++ b/modules/duty/reclaim_outlook.h
@@ -55,6 +55,10 @@
     bool operator==(const EndpointGroup&) const = default;
 };
 
+// The mean number of endpoints missing below `needed`, with groups lost independently: the sum of shortfallChances(). Its cost does not grow
+// with the number of endpoints, only with that of different sums of groups.
+double expectedShortfall(unsigned needed, const std::vector<EndpointGroup>&);
+
 // The distribution of the shortfall below `needed` endpoints, with groups lost independently: entry n is the probability that at least
 // n + 1 endpoints are missing.
 std::vector<double> shortfallChances(unsigned needed, const std::vector<EndpointGroup>&);
--- a/tests/modules/duty/test_reclaim_outlook.cpp
+++ b/tests/modules/duty/test_reclaim_outlook.cpp
@@ -1,6 +1,7 @@
 #include "modules/duty/reclaim_outlook.h"
 
 #include <boost/test/unit_test.hpp>
+#include <numeric>
 
 using namespace Onyxnotch;
 
@@ -43,6 +44,22 @@
     BOOST_TEST(std::abs(chances[3] - 0.01) < 1e-9);
 }
 
+// With 2,000 endpoints the scaler computed the distribution of each of 976 targets, four times a second on the thread that renews the lease.
+BOOST_AUTO_TEST_CASE(the_mean_shortfall_is_the_sum_of_its_chances)
+{
+    std::vector<std::vector<EndpointGroup>> fleets {
+        { { .endpoints = 3, .chanceOfLoss = 0.1 }, { .endpoints = 5, .chanceOfLoss = 0.2 }, { .endpoints = 0, .chanceOfLoss = 0.5 } },
+        std::vector<EndpointGroup>(6, { .endpoints = 400, .chanceOfLoss = 0.07 }),
+    };
+    for (const auto& groups : fleets) {
+        for (unsigned needed : { 0U, 1U, 7U, 2000U, 4000U }) {
+            auto chances = shortfallChances(needed, groups);
+            auto sum = std::accumulate(chances.begin(), chances.end(), 0.0);
+            BOOST_TEST(expectedShortfall(needed, groups) == sum, boost::test_tools::tolerance(1e-9));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(no_shortfall_where_no_endpoint_is_needed) { BOOST_TEST(shortfallChances(0, { { .endpoints = 3, .chanceOfLoss = 0.5 } }).empty()); }
 
 BOOST_AUTO_TEST_SUITE_END()
