Remember as many removed endpoints as a fleet has

Cause: a page of changes names at most 1,000 removals. When the scaler gives back 2,784 of 2,892 endpoints within seconds, changes are no longer known, and every node asks for the complete list, from two relay nodes a zone.

Change: removals are remembered for as many endpoints as there were at the same time, some 60 bytes each. Entries are kept as text in place of parsed JSON, since only their changes are read.

The new test (2,784 of 3,000 removed at once) fails with the fixed bound: the page holds all entries.

--- a/modules/control/endpoint_history.cpp
+++ b/modules/control/endpoint_history.cpp
@@ -7,14 +7,14 @@
 
 namespace {
 
-    // Several times the endpoints that are removed from a fleet at the same time; about 60 bytes each.
-    constexpr std::size_t maxRemembered = 1000;
+    // Removals are remembered for as many endpoints as there were at the same time, all of which may be removed within seconds, and at least
+    // for this number. About 60 bytes each.
+    constexpr std::size_t minRemembered = 1000;
 
     // Replaces invalid UTF-8. It is not expected in any entry: it was already replaced when the entry was read from the store or a peer.
-    std::uint64_t hashOfEntry(const std::string& id, const nlohmann::json& value)
-    {
-        return fastHash(id + value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
-    }
+    std::string textOf(const nlohmann::json& value) { return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace); }
+
+    std::uint64_t hashOfEntry(const std::string& id, const std::string& text) { return fastHash(id + text); }
 
     bool hasUnsignedNumber(const nlohmann::json& page, const char* name) { return page.value(name, nlohmann::json()).is_number_unsigned(); }
 
@@ -40,6 +40,7 @@
     m_digest ^= known.hash ^ entry.hash;
     known = std::move(entry);
     m_removedAt.erase(id);
+    m_largestSize = std::max(m_largestSize, m_entries.size());
 }
 
 void EndpointHistory::remove(const std::string& id, std::uint64_t revision)
@@ -60,11 +61,12 @@
         bool isKnown = known != m_entries.end();
         if (isKnown && object.revision != 0 && known->second.storeRevision == object.revision)
             continue;
-        auto hash = hashOfEntry(id, object.value);
+        auto text = textOf(object.value);
+        auto hash = hashOfEntry(id, text);
         if (isKnown && known->second.hash == hash)
             known->second.storeRevision = object.revision;
         else
-            put(id, { .value = object.value, .hash = hash, .changedAt = revision, .storeRevision = object.revision });
+            put(id, { .text = std::move(text), .hash = hash, .changedAt = revision, .storeRevision = object.revision });
     }
     std::vector<std::string> removed;
     for (const auto& [id, entry] : m_entries) {
@@ -86,7 +88,7 @@
 
 void EndpointHistory::dropOldestRemovals()
 {
-    while (m_removedAt.size() > maxRemembered) {
+    while (m_removedAt.size() > std::max(minRemembered, m_largestSize)) {
         auto oldest = std::min_element(m_removedAt.begin(), m_removedAt.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
         m_changesKnownSince = std::max(m_changesKnownSince, oldest->second);
         m_removedAt.erase(oldest);
@@ -97,7 +99,7 @@
 {
     auto values = nlohmann::json::object();
     for (const auto& [id, entry] : m_entries)
-        values[id] = entry.value;
+        values[id] = nlohmann::json::parse(entry.text);
     return values;
 }
 
@@ -108,7 +110,7 @@
     page["whole"] = isComplete;
     for (const auto& [id, entry] : m_entries) {
         if (isComplete || entry.changedAt > revision)
-            page["endpoints"][id] = entry.value;
+            page["endpoints"][id] = nlohmann::json::parse(entry.text);
     }
     if (isComplete)
         return page;
@@ -127,11 +129,12 @@
         return it == m_entries.end() ? 0 : it->second.hash;
     };
     for (const auto& [id, value] : page["endpoints"].items()) {
-        auto hash = hashOfEntry(id, value);
+        auto text = textOf(value);
+        auto hash = hashOfEntry(id, text);
         if (hash == knownHash(id))
             continue;
         change.digest ^= hash ^ knownHash(id);
-        change.written[id] = { .value = value, .hash = hash, .changedAt = revision };
+        change.written[id] = { .text = std::move(text), .hash = hash, .changedAt = revision };
     }
     auto addRemoval = [&](const std::string& id) {
         change.digest ^= knownHash(id);
--- a/modules/control/endpoint_history.h
+++ b/modules/control/endpoint_history.h
@@ -15,8 +15,8 @@
 class EndpointHistory {
 public:
     struct Entry {
-        nlohmann::json value {};
-        std::uint64_t hash { 0 }; // Of the id and the value; used to detect changed entries.
+        std::string text {}; // JSON. Parsed, an entry takes several times the memory, and only its changes are read.
+        std::uint64_t hash { 0 }; // Of the id and the text; used to detect changed entries.
         std::uint64_t changedAt { 0 }; // Revision at which the change was noticed; the change itself may be older.
         std::uint64_t storeRevision { 0 }; // Of the store object; 0 if the entry came from another node.
     };
@@ -61,6 +61,7 @@
     std::uint64_t m_revision { 0 };
     std::uint64_t m_changesKnownSince { 0 }; // Earliest revision since which all changes are known.
     std::map<std::string, std::uint64_t> m_removedAt {}; // Revision of the removal, by endpoint id.
+    std::size_t m_largestSize { 0 }; // Largest number of entries so far.
 };
 
 } // namespace Onyxnotch
--- a/modules/entry/entry_control.cpp
+++ b/modules/entry/entry_control.cpp
@@ -135,7 +135,7 @@
         return decoded.endpoint;
     decoded.hash = entry.hash;
     decoded.endpoint.reset();
-    auto endpoint = node.m_ports.decodeEndpoint(id, entry.value);
+    auto endpoint = node.m_ports.decodeEndpoint(id, nlohmann::json::parse(entry.text));
     if (endpoint)
         decoded.endpoint = std::move(endpoint.value());
     else
--- a/tests/modules/control/test_endpoint_history.cpp
+++ b/tests/modules/control/test_endpoint_history.cpp
@@ -33,6 +33,23 @@
     BOOST_TEST(!history.pageSince(10)["whole"].get<bool>());
 }
 
+// Guards against a complete list for every node when nine tenths of the endpoints are removed within seconds.
+BOOST_AUTO_TEST_CASE(a_page_names_all_removals_when_most_endpoints_are_removed)
+{
+    auto values = nlohmann::json::object();
+    for (int n = 0; n < 3000; ++n)
+        values["i" + std::to_string(n)] = entry(n);
+    EndpointHistory history;
+    history.take(values, 10);
+    for (int n = 0; n < 2784; ++n)
+        values.erase("i" + std::to_string(n));
+    history.take(values, 20);
+    auto page = history.pageSince(10);
+    BOOST_TEST(!page["whole"].get<bool>());
+    BOOST_TEST(page["gone"].size() == 2784U);
+    BOOST_TEST(page["endpoints"].empty());
+}
+
 // The node `mixedSources` fetches pages alternately from `store` and from `thirdRevisions`, which misses intermediate revisions. All must
 // end with the same entries.
 BOOST_AUTO_TEST_CASE(nodes_that_fetch_from_each_other_end_with_the_same_entries)
