Wake the lease's, roll-outs' and blocked requests' tasks when needed

Cause: an idle node's control thread polled for documents of peers (twice each 100 ms), for whether it should watch the store (twice each 200 ms), for pending writes, the lease and roll-outs (each 250 ms): some fifty wake-ups a second at each of 985 nodes that have no request.

Change: Wakeup lets a task wait until it is notified. The tasks of the lease and of roll-outs step once a second at a node that neither holds the duties nor is the first candidate; blocked requests wait for a write.

--- a/modules/control/blocked_requests.cpp
+++ b/modules/control/blocked_requests.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-    // Between checks for pending writes; the interval at which nodes send each other their state.
-    constexpr Milliseconds pollInterval { 250 };
+    constexpr Milliseconds idleInterval { 10000 }; // Between checks for pending writes, which also notify.
 
     nlohmann::json encode(const StoredBlockedRequest& blocked)
     {
@@ -33,6 +32,7 @@
     , m_store(store)
     , m_receiver(std::move(receiver))
     , m_options(options)
+    , m_newWrite(context)
 {
 }
 
@@ -45,6 +45,7 @@
     m_pendingWrites.push_back(pending);
     if (m_pendingWrites.size() > m_options.maxPendingWrites)
         m_pendingWrites.pop_front();
+    m_newWrite.notify();
 }
 
 std::string BlockedRequests::objectNameFor(const RequestDigest& request) const { return "slot-" + std::to_string(request.content % m_options.slotCount); }
@@ -76,7 +77,10 @@
                 m_pendingWrites.push_front(pending);
         }
         retryDelay = isStoreAvailable ? m_options.initialRetryDelay : std::min(retryDelay * 2, m_options.maxRetryDelay);
-        co_await sleepFor(m_context, isStoreAvailable ? pollInterval : retryDelay);
+        if (isStoreAvailable)
+            co_await m_newWrite.wait(idleInterval);
+        else
+            co_await sleepFor(m_context, retryDelay);
     }
 }
 
--- a/modules/control/blocked_requests.h
+++ b/modules/control/blocked_requests.h
@@ -4,6 +4,7 @@
 // and overwrites an older request there. Used on the control thread only.
 #pragma once
 
+#include "core/wakeup.h"
 #include "modules/control/object_store.h"
 #include "modules/suspects/suspect_update.h"
 #include <asio/io_context.hpp>
@@ -59,6 +60,7 @@
     Receiver m_receiver;
     BlockedRequestsOptions m_options;
     std::deque<PendingWrite> m_pendingWrites {};
+    Wakeup m_newWrite;
 };
 
 } // namespace Onyxnotch
--- a/modules/duty/duty_runner.cpp
+++ b/modules/duty/duty_runner.cpp
@@ -43,13 +43,20 @@
     , m_reports(options.usage)
     , m_scaler(options.scaler)
     , m_startedAt(steadyNow())
+    , m_nextStep(context)
 {
 }
 
+Milliseconds DutyRunner::stepInterval() const
+{
+    bool isIdle = !m_lease.holds(steadyNow()) && !m_summary.get()->firstCandidate;
+    return isIdle ? m_options.idleStep : m_options.step;
+}
+
 asio::awaitable<void> DutyRunner::run()
 {
     while (!m_stopped) {
-        co_await sleepFor(m_context, m_options.step);
+        co_await m_nextStep.wait(stepInterval());
         co_await step();
     }
     if (m_lastHeldAt != SteadyTime {})
--- a/modules/duty/duty_runner.h
+++ b/modules/duty/duty_runner.h
@@ -2,6 +2,7 @@
 // and orders endpoints. Runs on the control thread.
 #pragma once
 
+#include "core/wakeup.h"
 #include "modules/control/node_summary.h"
 #include "modules/control/object_store.h"
 #include "modules/duty/duty_checkpoint.h"
@@ -17,6 +18,7 @@
     UsageReportsOptions usage {};
     EndpointScalerOptions scaler {};
     Milliseconds step { 250 }; // Interval between the steps of run().
+    Milliseconds idleStep { 1000 }; // The same at a node that neither holds the duties nor is the first that would take them.
     Milliseconds startDelay { 1000 }; // Wait after process start, so that the state of a node that already holds the duties can arrive.
     // Wait of other nodes than the first candidate while nobody holds the duties, times NodeSummary::takeoverDelayFactor.
     Milliseconds otherCandidatesDelay { 4000 };
@@ -31,6 +33,8 @@
     // Runs a step every `step` until stop() is called.
     asio::awaitable<void> run();
     bool holds() const { return m_holdsDuties.load(); }
+    // Runs the next step at once, since the summary shows another holder or first candidate. On the thread of the io_context only.
+    void onCandidatesChanged() { m_nextStep.notify(); }
     // The fencing token under which this node last held the duties, 0 if it never did. Set only after the lease is lost or run() has
     // stopped, when no call made under the token is in flight.
     std::uint64_t lastHeldFence() const { return m_lastHeldFence.load(); }
@@ -44,6 +48,7 @@
 
 private:
     asio::awaitable<void> step();
+    Milliseconds stepInterval() const;
     asio::awaitable<void> maintainLease(const NodeSummary&);
     asio::awaitable<void> writeLease(const LeaseWrite&);
     // Returns false unless the checkpoint is known to be stored in the lease.
@@ -71,6 +76,7 @@
     SteadyTime m_noHolderSince {}; // Since when no live peer is known to hold the duties. Unset while one is.
     bool m_isCheckpointRestored { false }; // Whether the checkpoint has been restored since this node last acquired the lease.
     bool m_stopped { false };
+    Wakeup m_nextStep;
     std::atomic<bool> m_holdsDuties { false };
     std::atomic<std::uint64_t> m_lastHeldFence { 0 };
 };
--- a/modules/rollout/rollout_manager.cpp
+++ b/modules/rollout/rollout_manager.cpp
@@ -50,7 +50,7 @@
 asio::awaitable<void> RolloutManager::run()
 {
     while (m_options.enabled) {
-        co_await sleepFor(m_context, m_options.step);
+        co_await sleepFor(m_context, m_ports.holdsDuties() ? m_options.step : m_options.idleStep);
         co_await step();
     }
 }
--- a/modules/rollout/rollout_manager.h
+++ b/modules/rollout/rollout_manager.h
@@ -18,6 +18,7 @@
     RolloutPlanOptions plan {};
     RolloutEvaluatorOptions evaluator {};
     Milliseconds step { 250 };
+    Milliseconds idleStep { 1000 }; // At a node that does not hold the singleton duties.
     // Interval between reads of the orders, since each call costs. A version that appears beside another one triggers a read immediately;
     // it receives no requests until then.
     Milliseconds readInterval { 2000 };
