Find endpoints by short name, and touch only those with reported load

Cause: in each gossip period each node hashed the names of all endpoints to find the 256 of an aggregate, and set the load of all of them. An empty deque of idle connections takes 576 bytes of each endpoint's state.

Change: an index of short names, loads of those that have any, a vector.

--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -50,7 +50,9 @@
     removeExpiredMarks(now);
     m_endpointsByService.clear();
     m_shortNames.clear();
+    m_endpointsByShortName.clear();
     for (const auto& [life, state] : m_endpoints) {
+        m_endpointsByShortName.emplace(state->shortName, state);
         m_endpointsByService[state->listed.service].push_back(state);
         m_shortNames[state->listed.service].push_back(state->shortName);
     }
@@ -365,11 +367,19 @@
 
 void EndpointBook::setPeerLoads(const std::map<EndpointIncarnation, EndpointLoadReport>& loads, SteadyTime now)
 {
-    for (const auto& [life, state] : m_endpoints) {
-        auto it = loads.find(life);
-        state->peersInFlight = it == loads.end() ? 0 : it->second.inFlight;
-        state->peersWaitingTokens = it == loads.end() ? 0 : it->second.waitingTokens;
-        state->peerLoadsAt = now;
+    for (const auto& it : m_loadedByPeers) {
+        it->peersInFlight = 0;
+        it->peersWaitingTokens = 0;
+    }
+    m_loadedByPeers.clear();
+    for (const auto& [life, load] : loads) {
+        auto it = m_endpoints.find(life);
+        if (it == m_endpoints.end())
+            continue;
+        it->second->peersInFlight = load.inFlight;
+        it->second->peersWaitingTokens = load.waitingTokens;
+        it->second->peerLoadsAt = now;
+        m_loadedByPeers.push_back(it->second);
     }
 }
 
@@ -414,8 +424,8 @@
 
 const EndpointState* EndpointBook::findByShortName(ShortName name) const
 {
-    auto it = std::find_if(m_endpoints.begin(), m_endpoints.end(), [name](const auto& known) { return known.second->shortName == name; });
-    return it == m_endpoints.end() ? nullptr : it->second.get();
+    auto it = m_endpointsByShortName.find(name);
+    return it == m_endpointsByShortName.end() ? nullptr : it->second.get();
 }
 
 EndpointBook::Flight::Flight(std::shared_ptr<EndpointState> endpoint, double waitingTokens)
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -13,7 +13,8 @@
 #include "modules/limits/endpoint_limits.h"
 #include "modules/rollout/version_gate.h"
 #include "modules/traffic/traffic_view.h"
-#include <deque>
+#include <unordered_map>
+#include <vector>
 
 namespace Onyxnotch {
 
@@ -38,7 +39,7 @@
 
     ListedEndpoint listed {};
     ShortName shortName { 0 }; // Of `listed.life()`.
-    std::deque<IdleConnection> idle {}; // Most recently used last.
+    std::vector<IdleConnection> idle {}; // Most recently used last.
     unsigned connections { 0 }; // Open connections, including idle ones.
     unsigned inFlight { 0 };
     double waitingTokens { 0 };
@@ -228,6 +229,7 @@
     std::map<std::string, std::vector<std::shared_ptr<EndpointState>>> m_endpointsByService {};
     std::map<std::string, double> m_memoryTokens {}; // By service.
     std::map<EndpointIncarnation, LeavingMark> m_leaving {}; // A mark is never withdrawn while the incarnation is listed.
+    std::vector<std::shared_ptr<EndpointState>> m_loadedByPeers {}; // Endpoints for which other nodes reported load.
     SteadyTime m_resendMarksUntil {};
     EndpointBackoffs m_rests {};
     EndpointLimits m_limits {};
@@ -241,6 +243,7 @@
     std::map<std::string, FirstEventModel> m_pauses {}; // Times between events by number of running streams, by service.
     EndpointSpeeds m_speeds {};
     EndpointSpeeds::ServiceMembers m_shortNames {}; // Of listed incarnations, by service.
+    std::unordered_map<ShortName, std::shared_ptr<EndpointState>> m_endpointsByShortName {};
     ChoiceOptions m_options {};
 };
 
--- a/tests/modules/balance/test_endpoint_speeds.cpp
+++ b/tests/modules/balance/test_endpoint_speeds.cpp
@@ -5,6 +5,7 @@
 #include "modules/forward/pause_meter.h"
 #include "modules/peers/relayed_sum.h"
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <random>
 #include <set>
 
