Let the table of nodes grow with the fleet, and count what it refuses

Cause: a node's table has room for 1,024 nodes; rows, contacts and usage of further ones are dropped without a word. 985 nodes run today. A full table also kept the old address of a node that it knew.

Usage can be sent to given nodes. The new test (4,000 rows) needs the new function and so was not run on the code before.

--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -264,6 +264,14 @@
         sendBytes(it, bytes);
 }
 
+void PeerExchange::sendTo(const UsageNotice& notice, const std::vector<PeerContact>& receivers)
+{
+    std::vector<Address> addresses;
+    for (const auto& it : receivers)
+        addresses.push_back(it.gossipAddress);
+    sendTo(addresses, MessageType::UsageNotice, notice);
+}
+
 void PeerExchange::send(const SuspectUpdate& news) { sendTo(receivers(), MessageType::SuspectNotice, news); }
 
 void PeerExchange::sendToRelays(const SuspectUpdate& news)
--- a/modules/peers/peer_exchange.h
+++ b/modules/peers/peer_exchange.h
@@ -63,6 +63,8 @@
     void send(MessageType, const FleetRelay::AddressedAggregate&);
     // Sends usage counts to the lease holders of the singleton duties and to `usageFanOut` other nodes.
     void send(const UsageNotice&, const std::vector<PeerContact>& holders);
+    // Sends usage counts to these nodes.
+    void sendTo(const UsageNotice&, const std::vector<PeerContact>& receivers);
     // Sends the notice to the same selection of nodes as a row.
     void send(const PrefillNotice&);
     // Sends the suspects to the same selection of nodes as a row. The next rows contain them too, so a lost datagram costs one period.
--- a/modules/peers/peer_table.cpp
+++ b/modules/peers/peer_table.cpp
@@ -10,11 +10,17 @@
 {
 }
 
+bool PeerTable::hasRoomFor(const std::string& node)
+{
+    if (m_entries.size() < m_options.maximumNodes || m_entries.contains(node))
+        return true;
+    ++m_refused;
+    return false;
+}
+
 bool PeerTable::apply(const PeerRow& row, SteadyTime now)
 {
-    if (row.node == m_self || row.node.empty())
-        return false;
-    if (!m_entries.contains(row.node) && m_entries.size() >= m_options.maximumNodes)
+    if (row.node == m_self || row.node.empty() || !hasRoomFor(row.node))
         return false;
     auto& entry = m_entries[row.node];
     bool older = entry.hasRow && (row.lifetime < entry.row.lifetime || (row.lifetime == entry.row.lifetime && row.sequence <= entry.row.sequence));
@@ -32,9 +38,7 @@
 {
     constexpr std::size_t maximumIncarnations = 4;
     constexpr std::size_t maximumWindows = 12; // Twice the number of windows that a node keeps of its own usage.
-    if (notice.node == m_self || notice.node.empty())
-        return;
-    if (!m_entries.contains(notice.node) && m_entries.size() >= m_options.maximumNodes)
+    if (notice.node == m_self || notice.node.empty() || !hasRoomFor(notice.node))
         return;
     auto& entry = m_entries[notice.node];
     entry.lastSeenAt = std::max(entry.lastSeenAt, now);
@@ -59,7 +63,7 @@
 
 void PeerTable::addContact(const PeerContact& contact, SteadyTime now)
 {
-    if (contact.node == m_self || contact.node.empty() || m_entries.size() >= m_options.maximumNodes)
+    if (contact.node == m_self || contact.node.empty() || !hasRoomFor(contact.node))
         return;
     auto [it, added] = m_entries.try_emplace(contact.node);
     if (!added && contact.lifetime <= it->second.contact.lifetime)
@@ -138,6 +142,12 @@
     return static_cast<unsigned>(std::count_if(m_entries.begin(), m_entries.end(), [&](const auto& it) { return isSilent(it.second, silentFor, now); }));
 }
 
+std::optional<PeerContact> PeerTable::contactOf(const std::string& node) const
+{
+    auto it = m_entries.find(node);
+    return it == m_entries.end() ? std::nullopt : std::optional(it->second.contact);
+}
+
 std::vector<PeerContact> PeerTable::dutyHolders() const
 {
     std::vector<PeerContact> contacts;
--- a/modules/peers/peer_table.h
+++ b/modules/peers/peer_table.h
@@ -3,7 +3,9 @@
 
 #include "core/clock.h"
 #include "modules/peers/peer_row.h"
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Onyxnotch {
@@ -11,7 +13,8 @@
 struct PeerTableOptions {
     Milliseconds silentAfter { 1500 }; // Six gossip periods without a row: the node no longer counts as alive.
     Milliseconds forgetAfter { 30000 }; // Then a node's entry is removed; long enough for its usage counts to be in their usage report.
-    std::size_t maximumNodes { 1024 };
+    // Bounds the memory that senders of made-up names can take. Nodes that the store lists raise it, see setListedNodes().
+    std::size_t maximumNodes { 2048 };
 };
 
 // Median of at least one value; for an even number of values, the upper of the two middle ones.
@@ -31,7 +34,15 @@
     // As addContact(), for a contact from a relay node that received a recent row of the node: also keeps its entry from being removed.
     void refreshContact(const PeerContact&, SteadyTime now);
     void purgeExpired(SteadyTime now);
+    // Sets the number of nodes that the store lists: twice as many fit into the table, since removed nodes are kept for a while.
+    void setListedNodes(std::size_t nodes) { m_options.maximumNodes = std::max(m_options.maximumNodes, 2 * nodes); }
+    // Number of rows, contacts and usage counts that were refused because the table is full.
+    std::uint64_t refused() const { return m_refused; }
+    // Number of nodes in the table.
+    std::size_t size() const { return m_entries.size(); }
 
+    // The node's contact; empty if it is not in the table.
+    std::optional<PeerContact> contactOf(const std::string& node) const;
     // Nodes whose row says that they hold the singleton duties: they need the usage counts of all nodes.
     std::vector<PeerContact> dutyHolders() const;
     // Rows of the nodes from which one was received within `silentAfter`.
@@ -70,10 +81,13 @@
     };
 
     bool isSilent(const Entry&, Milliseconds silentFor, SteadyTime now) const;
+    // Whether the node is in the table or there is room for it. Counts the refusal otherwise.
+    bool hasRoomFor(const std::string& node);
 
     std::string m_self;
     PeerTableOptions m_options;
     std::map<std::string, Entry> m_entries {};
+    std::uint64_t m_refused { 0 };
 };
 
 } // namespace Onyxnotch
--- a/tests/modules/peers/test_peer_table.cpp
+++ b/tests/modules/peers/test_peer_table.cpp
@@ -43,6 +43,26 @@
     BOOST_TEST(table.contacts().empty());
 }
 
+// Guards against a fleet of which nodes silently know only a part: from the 1,025th node on, rows and contacts were dropped.
+BOOST_AUTO_TEST_CASE(the_table_has_room_for_twice_the_listed_nodes_and_counts_what_it_refuses)
+{
+    constexpr unsigned listed = 2000;
+    PeerTable table("self", { .maximumNodes = 100 });
+    table.setListedNodes(listed);
+    for (unsigned n = 0; n < 2 * listed; ++n)
+        BOOST_REQUIRE(table.apply(row("n" + std::to_string(n), 1, 1), at(0)));
+    BOOST_TEST(table.aliveCount(at(100)) == 2 * listed);
+    BOOST_TEST(table.refused() == 0U);
+    BOOST_TEST(!table.apply(row("one more", 1, 1), at(0)));
+    table.addContact({ .node = "another", .lifetime = 1 }, at(0));
+    table.applyUsage({ .node = "a third", .lifetime = 1 }, at(0));
+    BOOST_TEST(table.refused() == 3U);
+    BOOST_TEST(table.apply(row("n1", 1, 2), at(0)));
+    // A full table still learns the new address of a node that it knows.
+    table.addContact({ .node = "n2", .lifetime = 2, .zone = "z" }, at(0));
+    BOOST_TEST(table.contactsIn("z").size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(usage_of_an_ended_incarnation_still_counts)
 {
     PeerTable table("self");
