Call the store less often, and count what is called

Changes: - the first watcher follows each change; the two others, which replace it if it fails, call once a second at most and wait for up to six seconds; - the first list of endpoints of a node in a fleet with relay nodes may be some seconds old (a tenth of the price). It is never watched from, and a node that has got a peer's list ignores it; - a watch waits until it is decided whether this node watches; - nodes that replace lost watchers start 0.1 s apart in place of 0.03 s: some eight before the first is known, at any size; - the control thread is notified of what it polled for, and checks each 250 ms at a node that gets its documents from others; - a node that does not watch keeps no copy of the store's objects; - usage goes to the nodes that may take over the duties in place of eight random ones, and is added up once a second with relay nodes.

Ruled out: an old list of nodes (at a start of all it names nobody); a longer wait for the first watcher (a lost answer would be noticed too late).

--- a/modules/control/node_summary.cpp
+++ b/modules/control/node_summary.cpp
@@ -1,5 +1,7 @@
 #include "modules/control/node_summary.h"
 
+#include <tuple>
+
 namespace Onyxnotch {
 
 namespace {
@@ -36,6 +38,12 @@
     return summary;
 }
 
+bool isNewsForControl(const NodeSummary& before, const NodeSummary& after)
+{
+    auto actedOn = [](const NodeSummary& it) { return std::tie(it.peerEndpointsRevision, it.peerConfigurationVersion, it.watchesStore, it.peerHoldsDuties, it.firstCandidate); };
+    return actedOn(before) != actedOn(after);
+}
+
 NodeSummary summarizeGroup(const GroupAggregate& others, const SummaryOwner& owner)
 {
     NodeSummary summary { .alivePeers = others.nodes, .peerHoldsDuties = !others.dutyHolders.empty(), .demand = others.demand, .versions = others.versions };
--- a/modules/control/node_summary.h
+++ b/modules/control/node_summary.h
@@ -28,6 +28,7 @@
     // Factor on how long a node that is not the first candidate waits before it takes over singleton duties that no node holds.
     double takeoverDelayFactor { 1 };
     bool watchesStore { true }; // This node should watch the store itself instead of relying on peers.
+    bool isReplacementWatcher { false }; // Another node watches the store and is used before this one.
     double watchPauseFactor { 1 }; // Factor on the longest pause between store calls while the store does not answer.
     std::uint64_t peerEndpointsRevision { 0 }; // Highest store revision of the endpoint list among the peers that watch the store.
     Address peerEndpointsAddress {}; // Of a peer that serves this list.
@@ -57,6 +58,10 @@
 // The same, from the aggregate of all other nodes in a large fleet.
 NodeSummary summarizeGroup(const GroupAggregate& others, const SummaryOwner&);
 
+// Whether `after` differs from `before` in what the control thread acts on at once: newer documents of peers, whether to watch the store, and
+// who holds the singleton duties or would take them.
+bool isNewsForControl(const NodeSummary& before, const NodeSummary& after);
+
 // Holds the latest summary. Thread-safe.
 class NodeSummarySlot {
 public:
--- a/modules/control/object_store.h
+++ b/modules/control/object_store.h
@@ -19,7 +19,7 @@
 
     // Returns a page of objects in the order of their names, beginning after the name `afterName`, or with the first one if it is empty.
     // listAll() reads all pages.
-    virtual asio::awaitable<Result<StorePage>> listPage(StoreKind, const std::string& afterName) = 0;
+    virtual asio::awaitable<Result<StorePage>> listPage(StoreKind, const std::string& afterName, ReadFreshness) = 0;
     // Waits up to `wait` for changes after `revision` and returns them; an empty list if there were none. Errors: Exhausted if the store no
     // longer has the changes since `revision`, so that all objects must be listed again.
     virtual asio::awaitable<Result<StoreObjects>> watch(StoreKind, std::uint64_t revision, Milliseconds wait) = 0;
--- a/modules/control/paged_list.cpp
+++ b/modules/control/paged_list.cpp
@@ -16,7 +16,7 @@
         static thread_local std::minstd_rand random { std::random_device {}() };
         auto retryDelay = options.initialRetryDelay;
         for (unsigned attempt = 1;; ++attempt) {
-            auto page = co_await store.listPage(kind, afterName);
+            auto page = co_await store.listPage(kind, afterName, options.freshness);
             bool isUnavailable = !page && page.error().code == ErrorCode::Unavailable;
             if (!isUnavailable || attempt >= options.maxPageAttempts)
                 co_return page;
@@ -29,7 +29,7 @@
 
 asio::awaitable<Result<StoreObjects>> listAll(asio::io_context& context, ObjectStore& store, StoreKind kind, PagedListOptions options)
 {
-    auto page = co_await store.listPage(kind, {});
+    auto page = co_await store.listPage(kind, {}, options.freshness);
     if (!page)
         co_return page.error();
     // The result has the revision of the first page: a watch from it returns the changes made while the later pages were read.
--- a/modules/control/paged_list.h
+++ b/modules/control/paged_list.h
@@ -7,6 +7,7 @@
 namespace Onyxnotch {
 
 struct PagedListOptions {
+    ReadFreshness freshness { ReadFreshness::Latest };
     // If the store is unavailable for a page, only that page is read again, not the complete list: when 300 nodes start together and read
     // six pages each, and the store accepts only a part of the reads, hardly any node would ever complete its list.
     unsigned maxPageAttempts { 20 };
--- a/modules/control/store_follower.cpp
+++ b/modules/control/store_follower.cpp
@@ -8,35 +8,13 @@
 
 namespace Onyxnotch {
 
-namespace {
-
-    std::string_view nameOf(StoreKind kind)
-    {
-        switch (kind) {
-        case StoreKind::Configuration:
-            return "configuration";
-        case StoreKind::Endpoints:
-            return "endpoints";
-        case StoreKind::Duties:
-            return "duties";
-        case StoreKind::Nodes:
-            return "nodes";
-        case StoreKind::Rollouts:
-            return "rollouts";
-        case StoreKind::BlockedRequests:
-            return "blocked_requests";
-        }
-        return "";
-    }
-
-} // namespace
-
 StoreFollower::StoreFollower(asio::io_context& context, ObjectStore& store, StoreKind kind, Receiver receiver, const StoreFollowerOptions& options)
     : m_context(context)
     , m_store(store)
     , m_kind(kind)
     , m_receiver(std::move(receiver))
     , m_options(options)
+    , m_idle(context)
     , m_nextRetryDelay(options.initialRetryDelay)
     , m_nextWatchWait(options.initialWatchWait)
 {
@@ -70,25 +48,29 @@
 asio::awaitable<void> StoreFollower::run()
 {
     while (true) {
-        bool isWanted = !m_isWanted || m_isWanted();
+        std::optional<bool> isWanted = m_isWanted ? m_isWanted() : true;
         // Every node lists the objects once even if it need not follow the store, since it has to serve requests immediately.
-        if (!isWanted && m_hasEverConnected) {
+        if (m_hasEverConnected && isWanted == false) {
             co_await waitWhileIdle();
             continue;
         }
+        if (m_hasListed && !isWanted) {
+            co_await m_idle.wait(m_options.undecidedPollInterval);
+            continue;
+        }
         bool succeeded = false;
         if (m_hasListed)
             succeeded = co_await watch();
         else
-            succeeded = co_await list();
+            succeeded = co_await list(m_hasEverConnected ? ReadFreshness::Latest : m_firstListFreshness);
         if (!succeeded)
             co_await waitBeforeRetry();
     }
 }
 
-asio::awaitable<bool> StoreFollower::list()
+asio::awaitable<bool> StoreFollower::list(ReadFreshness freshness)
 {
-    auto page = co_await listAll(m_context, m_store, m_kind);
+    auto page = co_await listAll(m_context, m_store, m_kind, { .freshness = freshness });
     updateConnection(page ? nullptr : &page.error());
     if (!page)
         co_return false;
@@ -98,7 +80,11 @@
         m_objects[it.name] = std::move(it);
     m_revision = page.value().revision;
     m_hasListed = true;
+    bool isLatest = freshness == ReadFreshness::Latest;
+    m_isConnected = isLatest;
     m_receiver(m_objects, true);
+    if (!isLatest)
+        co_await waitWhileIdle();
     co_return true;
 }
 
@@ -113,7 +99,8 @@
     updateConnection(changes ? nullptr : &changes.error());
     if (!changes)
         co_return false;
-    m_nextWatchWait = std::min(m_nextWatchWait * 2, m_options.maxWatchWait);
+    bool isReplacement = m_isReplacement && m_isReplacement();
+    m_nextWatchWait = std::min(m_nextWatchWait * 2, isReplacement ? m_options.replacementWatchWait : m_options.maxWatchWait);
     logUnnamed(changes.value());
     m_revision = std::max(m_revision, changes.value().revision);
     for (auto& it : changes.value().objects) {
@@ -126,7 +113,7 @@
         co_return true;
     m_receiver(m_objects, false);
     // Changes come in bursts and each call has a cost: during this pause changes accumulate, and the next call fetches all of them.
-    co_await sleepFor(m_context, m_options.pauseAfterChange);
+    co_await sleepFor(m_context, isReplacement ? m_options.replacementPause : m_options.pauseAfterChange);
     co_return true;
 }
 
@@ -135,7 +122,8 @@
 {
     m_hasListed = false;
     m_isConnected = false;
-    co_await sleepFor(m_context, m_options.idlePollInterval);
+    m_objects.clear();
+    co_await m_idle.wait(m_options.idlePollInterval);
 }
 
 // The pause is randomized, so that the nodes of a fleet don't retry simultaneously.
--- a/modules/control/store_follower.h
+++ b/modules/control/store_follower.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/log.h"
+#include "core/wakeup.h"
 #include "modules/control/object_store.h"
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -24,7 +25,12 @@
     Milliseconds maxRetryDelay { 500 }; // Upper bound of the delay, and so of the time until the end of a store outage is noticed.
     // Before the next watch call, so that a burst of changes needs one call only; no change is needed sooner.
     Milliseconds pauseAfterChange { 100 };
-    Milliseconds idlePollInterval { 200 }; // Between checks of the condition set by setFollowCondition() while that returns false.
+    // The same two times at a node that only replaces another watcher, should that one fail (setIsReplacement()). Calls of several watchers
+    // for the same changes buy nothing while the first one works.
+    Milliseconds replacementPause { 1000 };
+    Milliseconds replacementWatchWait { 6000 };
+    Milliseconds undecidedPollInterval { 50 }; // Between checks of the condition set by setFollowCondition() until it is decided.
+    Milliseconds idlePollInterval { 1000 }; // Between checks of the condition set by setFollowCondition() while that returns false.
 };
 
 class StoreFollower {
@@ -35,11 +41,18 @@
 
     StoreFollower(asio::io_context&, ObjectStore&, StoreKind, Receiver, const StoreFollowerOptions& options = {});
 
-    // While `wanted` returns false, the store is not watched after the first list, since other nodes send the changes. Must be called
-    // before run().
-    void setFollowCondition(std::function<bool()> wanted) { m_isWanted = std::move(wanted); }
+    // While `wanted` returns false, the store is not watched after the first list, since other nodes send the changes. While it returns
+    // nothing, that is not decided yet, and the watch waits. Must be called before run().
+    void setFollowCondition(std::function<std::optional<bool>()> wanted) { m_isWanted = std::move(wanted); }
+    // `isReplacement` returns whether another node watches the store and is used before this one. Must be called before run().
+    void setIsReplacement(std::function<bool()> isReplacement) { m_isReplacement = std::move(isReplacement); }
+    // Checks the condition again at once. On the thread of the io_context only.
+    void onConditionChanged() { m_idle.notify(); }
     // `factor` returns the factor by which `maxRetryDelay` is multiplied. Must be called before run().
     void setPauseFactor(std::function<double()> factor) { m_pauseFactor = std::move(factor); }
+    // Lets the first list be some seconds old. It is passed on, but not watched from: a node that watches lists the objects again. Must be
+    // called before run().
+    void acceptOldFirstList() { m_firstListFreshness = ReadFreshness::MayBeOld; }
     // Runs until the process ends.
     asio::awaitable<void> run();
     // When a call to the store last failed; SteadyTime {} if none did.
@@ -49,7 +62,7 @@
     std::uint64_t revision() const { return m_revision; }
 
 private:
-    asio::awaitable<bool> list();
+    asio::awaitable<bool> list(ReadFreshness);
     asio::awaitable<bool> watch();
     asio::awaitable<void> waitBeforeRetry();
     asio::awaitable<void> waitWhileIdle();
@@ -60,15 +73,18 @@
     ObjectStore& m_store;
     StoreKind m_kind;
     Receiver m_receiver;
-    std::function<bool()> m_isWanted {};
+    std::function<std::optional<bool>()> m_isWanted {};
     std::function<double()> m_pauseFactor {};
+    std::function<bool()> m_isReplacement {};
     StoreFollowerOptions m_options;
+    ReadFreshness m_firstListFreshness { ReadFreshness::Latest };
     std::map<std::string, StoreObject> m_objects {};
     std::uint64_t m_revision { 0 };
     bool m_hasListed { false };
     bool m_isConnected { false };
     bool m_hasEverConnected { false };
     SteadyTime m_lastFailure {};
+    Wakeup m_idle;
     Milliseconds m_nextRetryDelay;
     Milliseconds m_nextWatchWait;
     // Lines per second; limited because another client of the store may keep writing objects without a readable name.
--- a/modules/control/store_objects.h
+++ b/modules/control/store_objects.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Onyxnotch {
@@ -41,4 +42,13 @@
     BlockedRequests, // Requests that no node sends on, because endpoints ended while running them.
 };
 
+// The name of a kind in logs and metrics.
+std::string_view nameOf(StoreKind);
+
+// How current a list has to be.
+enum class ReadFreshness {
+    Latest, // As of the call.
+    MayBeOld, // As of some seconds ago: a tenth of the price, and no part of the rate that all nodes share.
+};
+
 } // namespace Onyxnotch
--- a/modules/control/watch_choice.h
+++ b/modules/control/watch_choice.h
@@ -15,7 +15,8 @@
     unsigned everyNodeUpTo { 16 };
     unsigned watchersPerZone { 2 }; // Two, so that one may fail or be partitioned from its peers without noticing.
     // In a fleet with relay nodes every node receives the changes from any watcher, so this number is enough for the fleet: two of them may
-    // fail, or be partitioned without noticing, at the same time. Each change of an endpoint costs one store call per watcher.
+    // fail, or be partitioned without noticing, at the same time. Each change of an endpoint costs a store call of the first watcher; the
+    // others call less often.
     unsigned watchersPerFleet { 3 };
 };
 
@@ -76,6 +77,9 @@
         return m_isWatching;
     }
 
+    // Whether one of the other watchers ranks before this node: only the first one has to follow each change at once.
+    bool isReplacement(const std::vector<StoreWatcher>& others) const { return watcherRank(m_self, others) > 0; }
+
     // Factor on the longest pause between store calls while the store does not answer. During an outage no watch works, so all nodes start
     // calling the store; with this factor only a dozen nodes call at the full rate, whatever the size of the fleet.
     double pauseFactor(unsigned nodes) const
@@ -94,10 +98,11 @@
         return static_cast<double>(mixHash(std::hash<std::string> {}(node), 0) % (1U << 16U)) / steps;
     }
 
-    // Delays are spread so that about ten nodes start watching before the others learn of the first one.
+    // The n-th node starts n times this after the first one, whatever the size of the fleet. So about eight nodes start watching before the
+    // others learn of the first one, three quarters of a second later, and the three that are needed within half a second.
     SteadyTime::duration startDelay(unsigned nodes) const
     {
-        constexpr double secondsPerNode = 0.03;
+        constexpr double secondsPerNode = 0.1;
         return std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(m_fraction * nodes * secondsPerNode));
     }
 
--- a/modules/entry/entry_control.cpp
+++ b/modules/entry/entry_control.cpp
@@ -13,7 +13,11 @@
 
 namespace {
 
-    constexpr Milliseconds controlPeriod { 100 }; // Period of the control thread's checks of endpoints and of the versions that peers have.
+    // Period of the control thread's checks of endpoints, and of the versions that peers have as long as this node has no document at all.
+    constexpr Milliseconds controlPeriod { 100 };
+    constexpr Milliseconds idleControlPeriod { 250 }; // Of the checks at a node that gets its documents from others.
+    // Longest time between checks of the versions that peers have. The request thread notifies of newer ones.
+    constexpr Milliseconds peerCheckInterval { 1000 };
     // Backoff after a failed fetch of endpoints, doubled up to the maximum and randomized, so that nodes do not retry at one peer at once.
     constexpr Milliseconds minimumFetchBackoff { 100 };
     constexpr Milliseconds maximumFetchBackoff { 800 };
@@ -21,6 +25,7 @@
     constexpr Milliseconds storeListWait { 2000 };
     // Between attempts to register, and between reads of the other nodes while no peer is alive.
     constexpr Milliseconds nodeDiscoveryPeriod { 2000 };
+    constexpr Milliseconds storeCallLogInterval { 10000 };
     constexpr auto configurationName = "main";
     // Average age of endpoints fetched from a peer: one gossip period and the fetch; with relay nodes also the sending of two aggregates.
     constexpr Milliseconds peerPageAge { 250 };
@@ -33,7 +38,7 @@
 
 EntryNode::ControlSide::ControlSide(EntryNode& entryNode)
     : node(entryNode)
-    , store(entryNode.m_ports.makeStore(context))
+    , store(std::make_unique<CountedStore>(entryNode.m_ports.makeStore(context), entryNode.m_metrics))
     , cloud(entryNode.m_ports.makeCloud(context))
     , registry(entryNode.m_options.registry)
     , configurations(
@@ -64,14 +69,21 @@
     auto started = controlServer.start();
     if (!started)
         return started;
-    auto isWatchWanted = [this] { return node.m_summary.get()->watchesStore; };
+    auto isWatchWanted = [this]() -> std::optional<bool> {
+        auto summary = node.m_summary.get();
+        if (summary->madeAt == SteadyTime {})
+            return std::nullopt;
+        return summary->watchesStore;
+    };
     configurations.setFollowCondition(isWatchWanted);
     endpoints.setFollowCondition(isWatchWanted);
+    auto isReplacement = [this] { return node.m_summary.get()->isReplacementWatcher; };
+    configurations.setIsReplacement(isReplacement);
+    endpoints.setIsReplacement(isReplacement);
     auto pauseFactor = [this] { return node.m_summary.get()->watchPauseFactor; };
     configurations.setPauseFactor(pauseFactor);
     endpoints.setPauseFactor(pauseFactor);
     asio::co_spawn(context, configurations.run(), asio::detached);
-    asio::co_spawn(context, endpoints.run(), asio::detached);
     const auto& ownDuties = node.m_options.duties;
     if (ownDuties.reportsUsage || ownDuties.ordersEndpoints)
         asio::co_spawn(context, duties.run(), asio::detached);
@@ -79,6 +91,7 @@
     auto& requests = *node.m_requests;
     requests.saveBlockedRequest = [this](const StoredBlockedRequest& kept) { asio::post(context, [this, kept] { blockedRequests.keep(kept); }); };
     requests.deleteBlockedRequest = [this](const RequestDigest& request) { asio::post(context, [this, request] { blockedRequests.drop(request); }); };
+    requests.notifyControl = [this] { asio::post(context, [this] { onSummaryNews(); }); };
     asio::co_spawn(context, blockedRequests.run(), asio::detached);
     asio::co_spawn(context, runPeriodicChecks(), asio::detached);
     asio::co_spawn(context, followConfiguration(), asio::detached);
@@ -124,6 +137,9 @@
 
 void EntryNode::ControlSide::onEndpoints(const std::map<std::string, StoreObject>& objects)
 {
+    // A list that may be old is of no use any more when a peer's list has arrived before.
+    if (!endpoints.connected() && !history.isEmpty())
+        return;
     history.take(objects, endpoints.revision());
     applyEndpoints(storeSource);
 }
@@ -175,11 +191,26 @@
     node.m_view.setEndpoints(std::move(list));
 }
 
+void EntryNode::ControlSide::onSummaryNews()
+{
+    configurationNews.notify();
+    endpointNews.notify();
+    configurations.onConditionChanged();
+    endpoints.onConditionChanged();
+    duties.onCandidatesChanged();
+}
+
 asio::awaitable<void> EntryNode::ControlSide::runPeriodicChecks()
 {
+    auto callsLoggedAt = steadyNow();
     while (true) {
-        co_await sleepFor(context, controlPeriod);
+        bool isIdle = !endpoints.connected() && !duties.holds() && !registry.hasMissing();
+        co_await sleepFor(context, isIdle ? idleControlPeriod : controlPeriod);
         flushLog();
+        if (steadyNow() - callsLoggedAt >= storeCallLogInterval) {
+            callsLoggedAt = steadyNow();
+            store->logCounts();
+        }
         node.m_controlState.holdsDuties = duties.holds();
         node.m_controlState.leftDutiesFence = duties.lastHeldFence();
         node.m_controlState.watchesStore = configurations.connected() && endpoints.connected();
@@ -190,9 +221,10 @@
 
 asio::awaitable<void> EntryNode::ControlSide::followConfiguration()
 {
+    bool isUpToDate = false;
     while (true) {
-        co_await sleepFor(context, controlPeriod);
-        co_await fetchConfiguration();
+        co_await configurationNews.wait(isUpToDate ? peerCheckInterval : controlPeriod);
+        isUpToDate = co_await fetchConfiguration();
     }
 }
 
@@ -200,9 +232,9 @@
 {
     auto pause = minimumFetchBackoff;
     while (true) {
-        co_await sleepFor(context, controlPeriod);
         if (co_await fetchEndpoints()) {
             pause = minimumFetchBackoff;
+            co_await endpointNews.wait(history.isEmpty() ? controlPeriod : peerCheckInterval);
             continue;
         }
         co_await sleepFor(context, Milliseconds(std::uniform_int_distribution<std::int64_t>(pause.count() / 2, pause.count())(random)));
@@ -210,15 +242,17 @@
     }
 }
 
-asio::awaitable<void> EntryNode::ControlSide::fetchConfiguration()
+asio::awaitable<bool> EntryNode::ControlSide::fetchConfiguration()
 {
     auto summary = node.m_summary.get();
     auto current = node.m_view.configuration();
     if (summary->peerConfigurationVersion <= (current ? current->version() : 0))
-        co_return;
+        co_return current != nullptr;
     auto document = co_await pageClient.configuration(summary->peerConfigurationAddress);
-    if (!document.is_null())
-        applyConfiguration(document, peerSource);
+    if (document.is_null())
+        co_return false;
+    applyConfiguration(document, peerSource);
+    co_return true;
 }
 
 bool EntryNode::ControlSide::isAwaitingStoreList() const
@@ -256,24 +290,29 @@
 asio::awaitable<void> EntryNode::ControlSide::discoverNodes()
 {
     auto value = nodeEntry();
+    auto nodes = co_await readNodes();
+    followStoredEndpoints(nodes ? parseContacts(*nodes).size() : 0);
     bool registered = false;
     while (true) {
-        if (!registered)
-            registered = co_await registerNode(value);
-        if (registered && node.m_summary.get()->alivePeers == 0)
-            co_await readNodes();
+        if (!registered && nodes)
+            registered = co_await registerNode(value, *nodes);
         co_await sleepFor(context, nodeDiscoveryPeriod);
+        if (!registered || node.m_summary.get()->alivePeers == 0)
+            nodes = co_await readNodes();
     }
 }
 
-asio::awaitable<bool> EntryNode::ControlSide::registerNode(const nlohmann::json& value)
+// In a large fleet the other nodes send the newest endpoints within a second, so the first list need not be the newest.
+void EntryNode::ControlSide::followStoredEndpoints(std::size_t otherNodes)
 {
-    auto nodes = co_await listAll(context, *store, StoreKind::Nodes);
-    if (!nodes)
-        co_return false;
-    auto others = parseContacts(nodes.value());
-    asio::post(node.m_requests->context, [this, others] { node.m_requests->addListedNodes(others); });
-    const auto& objects = nodes.value().objects;
+    if (node.m_options.relays && otherNodes + 1 > node.m_options.watching.everyNodeUpTo)
+        endpoints.acceptOldFirstList();
+    asio::co_spawn(context, endpoints.run(), asio::detached);
+}
+
+asio::awaitable<bool> EntryNode::ControlSide::registerNode(const nlohmann::json& value, const StoreObjects& nodes)
+{
+    const auto& objects = nodes.objects;
     auto ownEntry = std::find_if(objects.begin(), objects.end(), [this](const auto& it) { return it.name == node.m_options.node; });
     if (ownEntry == objects.end()) {
         auto created = co_await store->create(StoreKind::Nodes, node.m_options.node, value);
@@ -285,13 +324,14 @@
     co_return bool(replaced);
 }
 
-asio::awaitable<void> EntryNode::ControlSide::readNodes()
+asio::awaitable<std::optional<StoreObjects>> EntryNode::ControlSide::readNodes()
 {
     auto nodes = co_await listAll(context, *store, StoreKind::Nodes);
     if (!nodes)
-        co_return;
+        co_return std::nullopt;
     auto others = parseContacts(nodes.value());
     asio::post(node.m_requests->context, [this, others] { node.m_requests->addListedNodes(others); });
+    co_return std::move(nodes.value());
 }
 
 Result<PeerContact> EntryNode::ControlSide::parseContact(const StoreObject& object)
--- a/modules/entry/entry_control.h
+++ b/modules/entry/entry_control.h
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "core/net/async_http_server.h"
 #include "modules/control/blocked_requests.h"
+#include "modules/control/counted_store.h"
 #include "modules/control/endpoint_history.h"
 #include "modules/control/peer_pages.h"
 #include "modules/entry/entry_node.h"
@@ -48,7 +49,10 @@
     void applyEndpoints(std::string_view source);
     // Gives the registry's list to the request thread and logs what has changed.
     void publishEndpoints(std::string_view source);
-    // Every 100 ms: flushes the log, publishes the control state and removes endpoints whose entries have expired.
+    // Acts on a summary of the request thread without waiting for the next check.
+    void onSummaryNews();
+    // Every 100 ms, or 250 ms at a node that gets its documents from others: flushes the log, publishes the control state and removes
+    // endpoints whose entries have expired.
     asio::awaitable<void> runPeriodicChecks();
 
     // Fetch newer configurations and endpoints from peers. Two separate tasks, so that a configuration, which must be in force within
@@ -56,8 +60,9 @@
     asio::awaitable<void> followConfiguration();
     asio::awaitable<void> followEndpoints();
 
-    // Fetches the configuration from a peer that has a newer one than this node.
-    asio::awaitable<void> fetchConfiguration();
+    // Fetches the configuration from a peer that has a newer one than this node. Returns false if this node has none afterwards, or if the
+    // peer did not give its own.
+    asio::awaitable<bool> fetchConfiguration();
 
     // Whether this node has just started and still expects its first list of endpoints from the store. Fetching the complete list from a
     // peer as well would double the traffic when the whole fleet starts.
@@ -72,10 +77,13 @@
 
     // Registers this node in the store, and then reads the other nodes from it as long as no peer is alive.
     asio::awaitable<void> discoverNodes();
+    // Starts to follow the endpoints, once the number of the other nodes in the store is known, or not available (0).
+    void followStoredEndpoints(std::size_t otherNodes);
 
     // Writes this node's entry if the store has none or another address. One list call returns both that entry and the other nodes.
-    asio::awaitable<bool> registerNode(const nlohmann::json& value);
-    asio::awaitable<void> readNodes();
+    asio::awaitable<bool> registerNode(const nlohmann::json& value, const StoreObjects& nodes);
+    // Reads the nodes in the store and passes them to the request thread. Empty if the store is not available.
+    asio::awaitable<std::optional<StoreObjects>> readNodes();
     static Result<PeerContact> parseContact(const StoreObject& object);
 
     // Contacts of the listed nodes, without this node; entries that cannot be parsed are logged and left out.
@@ -83,7 +91,7 @@
 
     EntryNode& node;
     asio::io_context context { 1 };
-    std::unique_ptr<ObjectStore> store;
+    std::unique_ptr<CountedStore> store;
     std::unique_ptr<CloudOrders> cloud;
     EndpointRegistry registry;
     StoreFollower configurations;
@@ -97,6 +105,8 @@
     EndpointHistory history {}; // Serves changes of endpoints to nodes that do not follow the store.
     std::map<std::string, DecodedEntry> decodedEntries {};
     LogRateLimiter refusedEntryLogBudget { detail::refusedLinesPerSecond };
+    Wakeup configurationNews { context };
+    Wakeup endpointNews { context };
     SteadyTime startedAt { steadyNow() };
     std::minstd_rand random { std::random_device {}() };
 };
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -91,6 +91,7 @@
     forward.demand.tick(seconds);
     detectSuspension();
     reportBlockedRequests();
+    reportRefusedPeers(now);
     forward.metrics.set("onyxnotch_entry_resting_endpoints", static_cast<double>(forward.endpoints.resting(now)));
     forward.metrics.set("onyxnotch_entry_held_bytes", static_cast<double>(forward.bodyMemory.held()));
     if (auto leftOut = forward.succeededRequestLines.takeSuppressedCount() + forward.failedRequestLines.takeSuppressedCount())
@@ -147,7 +148,7 @@
     forward.endpoints.setPeerLoads(sumLoads(alive), now);
     exchange.send(ownRow());
     limits.tick(false, aliveShare(alive, now), now);
-    summary.set(std::make_shared<const NodeSummary>(summarize(alive, now)));
+    publish(summarize(alive, now));
 }
 
 double EntryNode::RequestSide::aliveShare(const std::vector<const PeerRow*>& alive, SteadyTime now) const
@@ -183,11 +184,12 @@
     }
     limits.tick(true, (others.nodes + 1.0) / (others.nodes + others.silentNodes + 1.0), now);
     fleetDutyHolders = others.dutyHolders;
+    fleetWatchers = others.watchers;
     for (const auto& it : others.leavingEndpoints)
         forward.endpoints.markLeaving(it, steadyNow());
     forward.suspects.onPeerUpdate(others.suspects, steadyNow());
     forward.clockDifference = relay.clockDifference(ownClockDifference, now);
-    summary.set(std::make_shared<const NodeSummary>(summarize(others, now)));
+    publish(summarize(others, now));
 }
 
 void EntryNode::RequestSide::adaptRelayTimeouts()
@@ -208,14 +210,12 @@
 std::map<EndpointIncarnation, EndpointLoadReport> EntryNode::RequestSide::loadsByIncarnation(const std::map<ShortName, AggregatedLoad>& loads) const
 {
     std::map<EndpointIncarnation, EndpointLoadReport> listedLoads;
-    auto list = view.endpoints();
-    if (!list)
-        return listedLoads;
-    for (const auto& [id, endpoint] : list->endpoints) {
-        auto incarnation = endpoint.life();
-        auto it = loads.find(shortNameOf(incarnation));
-        if (it != loads.end())
-            listedLoads[incarnation] = { .endpoint = incarnation, .inFlight = static_cast<double>(it->second.inFlight), .waitingTokens = it->second.waitingUnits * AggregatedLoad::tokensPerUnit };
+    for (const auto& [name, load] : loads) {
+        const auto* endpoint = forward.endpoints.findByShortName(name);
+        if (!endpoint)
+            continue;
+        auto incarnation = endpoint->listed.life();
+        listedLoads[incarnation] = { .endpoint = incarnation, .inFlight = static_cast<double>(load.inFlight), .waitingTokens = load.waitingUnits * AggregatedLoad::tokensPerUnit };
     }
     return listedLoads;
 }
@@ -223,6 +223,7 @@
 void EntryNode::RequestSide::addListedNodes(const std::vector<PeerContact>& others)
 {
     listedNodes = static_cast<unsigned>(others.size()) + 1;
+    peers.setListedNodes(listedNodes);
     logEvent(LogLevel::Info, "nodes_expected", { { "nodes", listedNodes } });
     for (const auto& it : others)
         exchange.addContact(it);
@@ -235,7 +236,7 @@
 
 void EntryNode::RequestSide::updateExpectedNodes()
 {
-    auto namedNodes = static_cast<unsigned>(peers.contacts().size()) + 1;
+    auto namedNodes = static_cast<unsigned>(peers.size()) + 1;
     if (listedNodes > 0 || namedNodes > forward.teams.expectedNodes())
         forward.teams.setExpectedNodes(std::max(listedNodes, namedNodes));
 }
@@ -276,8 +277,29 @@
     lastUsageHolder = holder;
     bool includeAllWindows = holder.empty() || fullReportsSent < fullUsageReports;
     auto windows = includeAllWindows ? forward.usage.windows() : forward.usage.openSince(forward.fleetTimeMilliseconds() - usageResendMilliseconds);
-    if (!windows.empty())
-        exchange.send(UsageNotice { .node = options.node, .lifetime = lifetime, .windows = std::move(windows) }, holders);
+    if (windows.empty())
+        return;
+    UsageNotice notice { .node = options.node, .lifetime = lifetime, .windows = std::move(windows) };
+    auto receivers = usageReceivers();
+    if (receivers.empty())
+        exchange.send(notice, holders);
+    else
+        exchange.sendTo(notice, receivers);
+}
+
+// A holder may fail and lose the counts that it received. In a large fleet hardly any of the nodes chosen at random is the next holder.
+std::vector<PeerContact> EntryNode::RequestSide::usageReceivers() const
+{
+    if (!usesRelays() || fleetWatchers.empty())
+        return {};
+    auto receivers = fleetDutyHolders;
+    for (const auto& watcher : fleetWatchers) {
+        bool isIncluded = std::any_of(receivers.begin(), receivers.end(), [&](const auto& it) { return it.node == watcher.node; });
+        auto contact = isIncluded ? std::nullopt : peers.contactOf(watcher.node);
+        if (contact)
+            receivers.push_back(*contact);
+    }
+    return receivers;
 }
 
 PeerRow EntryNode::RequestSide::ownRow()
@@ -399,11 +421,30 @@
     logEvent(LogLevel::Info, "blocked_requests_read", { { "count", update.blocked.size() } });
 }
 
+void EntryNode::RequestSide::reportRefusedPeers(SteadyTime now)
+{
+    auto refused = peers.refused() - refusedPeers;
+    if (refused == 0)
+        return;
+    forward.metrics.increment("onyxnotch_entry_refused_peers_total", {}, static_cast<double>(refused));
+    refusedPeers += refused;
+    if (refusedPeerLines.take(now))
+        logEvent(LogLevel::Warning, "peer_table_full", { { "nodes", peers.size() }, { "refused", refusedPeers } });
+}
+
 SummaryOwner EntryNode::RequestSide::summaryOwner() const
 {
     return { .node = options.node, .zone = options.zone, .watchesStore = control.watchesStore, .relinquishedDuties = control.leftDutiesFence > 0 };
 }
 
+void EntryNode::RequestSide::publish(NodeSummary made)
+{
+    bool isNews = isNewsForControl(*summary.get(), made);
+    summary.set(std::make_shared<const NodeSummary>(std::move(made)));
+    if (isNews && notifyControl)
+        notifyControl();
+}
+
 NodeSummary EntryNode::RequestSide::summarize(const std::vector<const PeerRow*>& alive, SteadyTime now)
 {
     auto result = summarizePeers(alive, summaryOwner());
@@ -417,6 +458,7 @@
 {
     auto result = summarizeGroup(others, summaryOwner());
     result.watchesStore = watchDecision.decide(others.watchers, std::max(others.nodes + 1, listedNodes), others.nodes > 0, now);
+    result.isReplacementWatcher = result.watchesStore && watchDecision.isReplacement(others.watchers);
     result.watchPauseFactor = watchDecision.pauseFactor(others.nodes + 1);
     result.usageSettleTime = relayedUsageSettleTime;
     result.takeoverDelayFactor = watchDecision.pauseFactor(others.nodes + 1);
@@ -426,14 +468,17 @@
     return result;
 }
 
-WindowCounts EntryNode::RequestSide::fleetUsage() const
+WindowCounts EntryNode::RequestSide::fleetUsage(SteadyTime now)
 {
-    auto sums = peers.usage();
+    if (usesRelays() && now - usageSummedAt < usageSumInterval)
+        return summedUsage;
+    usageSummedAt = now;
+    summedUsage = peers.usage();
     for (const auto& [window, counts] : forward.usage.windows()) {
         for (const auto& [team, count] : counts)
-            sums[window][team] += count;
+            summedUsage[window][team] += count;
     }
-    return sums;
+    return summedUsage;
 }
 
 void EntryNode::RequestSide::addOwnState(NodeSummary& result, SteadyTime now)
@@ -445,7 +490,7 @@
     mergeTrials(result.versions.trials, forward.versions.ownTrials());
     result.versions.stopped = forward.versions.stopped();
     if (control.holdsDuties)
-        result.usage = fleetUsage();
+        result.usage = fleetUsage(now);
     for (const auto& [service, demand] : forward.demand.demand())
         result.demand[service] += demand;
     std::map<std::string, ServiceRates> rates;
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -37,6 +37,10 @@
     // after its end, so that a lost datagram or a late node loses none. The usage report is due some seconds later.
     static constexpr Milliseconds relayedUsageSettleTime { 4000 };
 
+    // With relay nodes: age of the sum of all nodes' usage, whose cost grows with nodes, windows and teams. Counts of a window are final only
+    // some seconds after its end.
+    static constexpr Milliseconds usageSumInterval { 1000 };
+
     // Endpoint speeds are sent once per this number of gossip periods: they change slowly.
     static constexpr std::uint32_t speedPeriodTicks = 2;
 
@@ -85,6 +89,8 @@
     void adaptDirectTimeouts();
     static std::map<EndpointIncarnation, EndpointLoadReport> sumLoads(const std::vector<const PeerRow*>& rows);
     void sendUsage();
+    // With relay nodes: the holders of the singleton duties, and the nodes that may take them over.
+    std::vector<PeerContact> usageReceivers() const;
     // Evaluates the measured speeds and failures of endpoints over all nodes, and sends this node's.
     void exchangeEndpointSpeeds(SteadyTime now);
     void logEndpointSpeedChanges(SteadyTime now);
@@ -108,13 +114,17 @@
     void onSuspectUpdate(const SuspectUpdate& update);
     // Logs requests that were blocked or cleared since the last call, and passes them to the store.
     void reportBlockedRequests();
+    // Counts and logs rows and contacts of nodes for which the peer table has no room.
+    void reportRefusedPeers(SteadyTime now);
     // Blocks the requests that were stored as blocked when this node started.
     void restoreBlockedRequests(const std::vector<StoredBlockedRequest>&);
     SummaryOwner summaryOwner() const;
+    // Publishes the summary, and notifies the control thread of what it acts on.
+    void publish(NodeSummary);
     NodeSummary summarize(const std::vector<const PeerRow*>& alive, SteadyTime now);
     NodeSummary summarize(const GroupAggregate& others, SteadyTime now);
-    // Usage of all nodes, by window and team.
-    WindowCounts fleetUsage() const;
+    // Usage of all nodes, by window and team; with relay nodes as of `usageSumInterval` ago at most.
+    WindowCounts fleetUsage(SteadyTime now);
 
     // Adds this node's own state, which messages of the other nodes do not contain.
     void addOwnState(NodeSummary& result, SteadyTime now);
@@ -149,14 +159,20 @@
     std::uint32_t ticks { 0 };
     std::uint32_t usagePhase { static_cast<std::uint32_t>(mixHash(std::hash<std::string> {}(options.node), 0) % usagePeriodTicks) };
     std::vector<PeerContact> fleetDutyHolders {}; // With relay nodes: the nodes that report to hold the singleton duties.
+    std::vector<StoreWatcher> fleetWatchers {}; // With relay nodes: the other nodes that watch the store, one of which takes over the duties.
     std::string lastUsageHolder {}; // Name of the duty holder that usage was last sent to,
     unsigned fullReportsSent { 0 }; // and how many more times it was sent to the same one.
     bool isSuspectUpdateScheduled { false }; // An update of suspected requests will be sent after the delay.
+    SteadyTime usageSummedAt {}; // When `summedUsage` was last computed; SteadyTime {} if never.
+    WindowCounts summedUsage {}; // Of all nodes, by window and team. Only at the holder of the singleton duties.
+    std::uint64_t refusedPeers { 0 }; // PeerTable::refused() as last reported.
+    LogRateLimiter refusedPeerLines { 1 };
     unsigned listedNodes { 0 }; // Nodes that the store lists, this one included; 0 before the list was read.
     Address controlAddress {};
     // Both post to the control thread, which writes to the store.
     std::function<void(const StoredBlockedRequest&)> saveBlockedRequest {};
     std::function<void(const RequestDigest&)> deleteBlockedRequest {};
+    std::function<void()> notifyControl {}; // Tells the control thread that the published summary has news for it.
 };
 
 } // namespace Onyxnotch
--- a/tests/modules/control/test_blocked_requests.cpp
+++ b/tests/modules/control/test_blocked_requests.cpp
@@ -17,7 +17,7 @@
     unsigned failuresLeft { 0 }; // Number of next calls that fail.
     unsigned writes { 0 };
 
-    asio::awaitable<Result<StorePage>> listPage(StoreKind, const std::string&) override
+    asio::awaitable<Result<StorePage>> listPage(StoreKind, const std::string&, ReadFreshness) override
     {
         if (shouldFail())
             co_return Error { ErrorCode::Unavailable, "away" };
--- a/tests/modules/control/test_store_follower.cpp
+++ b/tests/modules/control/test_store_follower.cpp
@@ -1,5 +1,6 @@
 #include "modules/control/store_follower.h"
 
+#include "modules/control/counted_store.h"
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <boost/test/unit_test.hpp>
@@ -19,7 +20,16 @@
     std::vector<Milliseconds> waits {};
     std::function<void()> onLastWatch {};
 
-    asio::awaitable<Result<StorePage>> listPage(StoreKind, const std::string&) override { co_return StorePage { .objects = { .revision = 1 } }; }
+    std::vector<ReadFreshness> lists {};
+    std::function<void()> onList {};
+
+    asio::awaitable<Result<StorePage>> listPage(StoreKind, const std::string&, ReadFreshness freshness) override
+    {
+        lists.push_back(freshness);
+        if (onList)
+            onList();
+        co_return StorePage { .objects = { .revision = 1, .objects = { { .name = "e" } } } };
+    }
 
     asio::awaitable<Result<StoreObjects>> watch(StoreKind, std::uint64_t revision, Milliseconds wait) override
     {
@@ -70,4 +80,91 @@
     BOOST_TEST((StoreFollowerOptions {}.maxWatchWait < propagationTime));
 }
 
+// Guards against a node that follows changes from a list whose revision and objects need not fit each other.
+BOOST_AUTO_TEST_CASE(a_first_list_that_may_be_old_is_not_watched_from)
+{
+    asio::io_context context;
+    ScriptedStore store({ true });
+    store.onLastWatch = [&] { context.stop(); };
+    unsigned received = 0;
+    bool isConnectedAtFirstList = true;
+    std::unique_ptr<StoreFollower> follower;
+    auto receiver = [&](const auto& objects, bool) {
+        if (received++ == 0)
+            isConnectedAtFirstList = follower->connected();
+        BOOST_TEST(objects.size() == 1U);
+    };
+    follower = std::make_unique<StoreFollower>(context, store, StoreKind::Endpoints, receiver, StoreFollowerOptions { .idlePollInterval = Milliseconds(1) });
+    follower->acceptOldFirstList();
+    asio::co_spawn(context, follower->run(), asio::detached);
+    context.run();
+    std::vector<ReadFreshness> expected { ReadFreshness::MayBeOld, ReadFreshness::Latest };
+    BOOST_TEST((store.lists == expected));
+    BOOST_TEST(received == 2U);
+    BOOST_TEST(!isConnectedAtFirstList);
+}
+
+// Guards against a watch call of every node at a start, before it knows whether others watch.
+BOOST_AUTO_TEST_CASE(a_watch_waits_until_it_is_decided_whether_this_node_watches)
+{
+    asio::io_context context;
+    ScriptedStore store({ true });
+    store.onLastWatch = [&] { context.stop(); };
+    StoreFollower follower(
+        context, store, StoreKind::Endpoints, [](const auto&, bool) {}, { .undecidedPollInterval = Milliseconds(1) });
+    unsigned asked = 0;
+    std::size_t watchesWhileUndecided = 0;
+    follower.setFollowCondition([&]() -> std::optional<bool> {
+        if (++asked >= 5)
+            return true;
+        watchesWhileUndecided = store.waits.size();
+        return std::nullopt;
+    });
+    asio::co_spawn(context, follower.run(), asio::detached);
+    context.run();
+    BOOST_TEST(watchesWhileUndecided == 0U);
+    BOOST_TEST(asked >= 5U);
+    BOOST_TEST(store.lists.size() == 1U);
+}
+
+// Guards against calls of all watchers of a fleet for each change that the first one passes on already.
+BOOST_AUTO_TEST_CASE(a_replacement_watches_for_longer_and_becomes_quick_when_it_is_the_first)
+{
+    asio::io_context context;
+    ScriptedStore store({ true, true, true, true, true });
+    store.onLastWatch = [&] { context.stop(); };
+    StoreFollower follower(
+        context, store, StoreKind::Endpoints, [](const auto&, bool) {}, { .maxWatchWait = Milliseconds(1000), .initialWatchWait = Milliseconds(500), .replacementWatchWait = Milliseconds(4000) });
+    follower.setIsReplacement([&] { return store.waits.size() < 4; });
+    asio::co_spawn(context, follower.run(), asio::detached);
+    context.run();
+    std::vector<Milliseconds> expected { Milliseconds(500), Milliseconds(1000), Milliseconds(2000), Milliseconds(4000), Milliseconds(1000) };
+    BOOST_REQUIRE_GE(store.waits.size(), expected.size());
+    store.waits.resize(expected.size());
+    BOOST_TEST((store.waits == expected));
+}
+
+// Each call has a price; nothing told which ones a node makes.
+BOOST_AUTO_TEST_CASE(calls_are_counted_by_kind_and_call)
+{
+    asio::io_context context;
+    auto scripted = std::make_unique<ScriptedStore>(std::vector<bool> { true });
+    scripted->onLastWatch = [] {};
+    Metrics metrics;
+    CountedStore store(std::move(scripted), metrics);
+    auto use = [&]() -> asio::awaitable<void> {
+        co_await store.listPage(StoreKind::Nodes, {}, ReadFreshness::Latest);
+        co_await store.listPage(StoreKind::Endpoints, {}, ReadFreshness::MayBeOld);
+        co_await store.listPage(StoreKind::Endpoints, {}, ReadFreshness::MayBeOld);
+        co_await store.watch(StoreKind::Configuration, 1, Milliseconds(1));
+    };
+    asio::co_spawn(context, use(), asio::detached);
+    context.run();
+    auto text = metrics.serialize();
+    auto contains = [&](const std::string& part) { return text.find(part) != std::string::npos; };
+    BOOST_TEST(contains(R"(onyxnotch_entry_store_calls_total{call="list",freshness="may_be_old",kind="endpoints"} 2)"));
+    BOOST_TEST(contains(R"(onyxnotch_entry_store_calls_total{call="list",freshness="latest",kind="nodes"} 1)"));
+    BOOST_TEST(contains(R"(onyxnotch_entry_store_calls_total{call="watch",freshness="latest",kind="configuration"} 1)"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/modules/control/test_watch_choice.cpp
+++ b/tests/modules/control/test_watch_choice.cpp
@@ -51,10 +51,59 @@
     std::set<std::string> cutOff {}; // Nodes that cannot reach the store.
 };
 
+struct ReplacedWatchers {
+    std::size_t maxWatchers { 0 }; // Most nodes that watched at the same time.
+    std::size_t watchersAtEnd { 0 };
+    Milliseconds enoughAfter { 0 }; // Until three nodes watched.
+};
+
+// Simulates a fleet of which no node watches at first.
+ReplacedWatchers replaceAllWatchers(unsigned nodes)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    std::vector<WatchDecision> fleet;
+    for (unsigned n = 0; n < nodes; ++n)
+        fleet.emplace_back("n" + std::to_string(n), "z" + std::to_string(n % 6), WatchChoiceOptions {});
+    std::vector<StoreWatcher> known;
+    ReplacedWatchers result;
+    for (int now = 0; now <= 20000; now += 250) {
+        std::vector<StoreWatcher> watchers;
+        for (unsigned n = 0; n < nodes; ++n) {
+            StoreWatcher self { .zone = "z" + std::to_string(n % 6), .node = "n" + std::to_string(n) };
+            auto others = known;
+            std::erase(others, self);
+            if (fleet[n].decide(others, nodes, true, start + Milliseconds(now)))
+                watchers.push_back(self);
+        }
+        result.maxWatchers = std::max(result.maxWatchers, watchers.size());
+        if (watchers.size() >= 3 && result.enoughAfter == Milliseconds(0))
+            result.enoughAfter = Milliseconds(now);
+        // Nodes learn of the watchers from aggregates, which are about this old on average.
+        if (now % 750 == 0)
+            known = watchers;
+    }
+    result.watchersAtEnd = known.size();
+    return result;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(WatchChoiceTests)
 
+// Each change of an endpoint cost a store call of every watcher.
+BOOST_AUTO_TEST_CASE(all_watchers_but_the_first_are_replacements)
+{
+    std::vector<StoreWatcher> watchers { { .zone = "a", .node = "a1" }, { .zone = "b", .node = "b1" }, { .zone = "c", .node = "c1" } };
+    unsigned replacements = 0;
+    for (const auto& self : watchers) {
+        auto others = watchers;
+        std::erase(others, self);
+        replacements += WatchDecision(self.node, self.zone, {}).isReplacement(others) ? 1 : 0;
+    }
+    BOOST_TEST(replacements == 2U);
+    BOOST_TEST(!WatchDecision("c1", "c", {}).isReplacement({}));
+}
+
 BOOST_AUTO_TEST_CASE(in_a_small_fleet_every_node_watches)
 {
     Fleet fleet(8); // Sixteen nodes.
@@ -130,29 +179,23 @@
 // Guards against a fault at 295 nodes: all nodes that knew of too few watchers started watching together, 10,484 calls in a quiet day.
 BOOST_AUTO_TEST_CASE(lost_watchers_are_replaced_by_a_few_nodes)
 {
-    constexpr unsigned nodes = 300;
-    const SteadyTime start { std::chrono::hours(1) };
-    std::vector<WatchDecision> fleet;
-    for (unsigned n = 0; n < nodes; ++n)
-        fleet.emplace_back("n" + std::to_string(n), "z" + std::to_string(n % 6), WatchChoiceOptions {});
-    std::vector<StoreWatcher> known;
-    std::size_t maxWatchers = 0;
-    for (int now = 0; now <= 20000; now += 250) {
-        std::vector<StoreWatcher> watchers;
-        for (unsigned n = 0; n < nodes; ++n) {
-            StoreWatcher self { .zone = "z" + std::to_string(n % 6), .node = "n" + std::to_string(n) };
-            auto others = known;
-            std::erase(others, self);
-            if (fleet[n].decide(others, nodes, true, start + Milliseconds(now)))
-                watchers.push_back(self);
+    auto replaced = replaceAllWatchers(300);
+    BOOST_TEST(replaced.maxWatchers <= 60U);
+    BOOST_TEST(replaced.watchersAtEnd == 3U);
+}
+
+// Guards against delays that fit one size of the fleet: each node that starts watching lists all objects.
+BOOST_AUTO_TEST_CASE(the_nodes_that_replace_watchers_do_not_grow_with_the_fleet)
+{
+    for (unsigned nodes : { 23U, 300U, 985U, 2000U }) {
+        auto replaced = replaceAllWatchers(nodes);
+        BOOST_TEST_CONTEXT(nodes << " nodes")
+        {
+            BOOST_TEST(replaced.maxWatchers <= 20U);
+            BOOST_TEST(replaced.watchersAtEnd == 3U);
+            BOOST_TEST((replaced.enoughAfter <= Milliseconds(1500)));
         }
-        maxWatchers = std::max(maxWatchers, watchers.size());
-        // Nodes learn of the watchers from aggregates, which are about this old on average.
-        if (now % 750 == 0)
-            known = watchers;
     }
-    BOOST_TEST(maxWatchers <= 60U);
-    BOOST_TEST(known.size() == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(an_isolated_node_starts_watching_within_the_isolation_timeout)
