--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -234,7 +234,7 @@
     auto& reserve = state.startReserve;
     auto share = evenShare(0);
     auto refill = team.ratePerSecond * share * m_options.startRefill * seconds(now - reserve.updatedAt);
-    reserve.level = std::min(reserve.level + refill, (startTolerance(team) + team.burst) * share);
+    reserve.level = std::min(reserve.level + refill, (startAmount(team) + team.burst) * share);
     reserve.updatedAt = now;
     auto available = reserve.level + team.burst * share * m_options.startOverdraw;
     if (reserve.level > 0 && amount <= available)
@@ -260,7 +260,7 @@
 {
     auto it = m_teams.find(team.name);
     if (it == m_teams.end()) {
-        StartReserve reserve { .level = startTolerance(team) * evenShare(0), .updatedAt = m_startedAt };
+        StartReserve reserve { .level = startAmount(team) * evenShare(0), .updatedAt = m_startedAt };
         it = m_teams.emplace(team.name, Team { .bucket = TeamBucket(initialLevel(team, now), now), .startReserve = reserve }).first;
     }
     auto& state = it->second;
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -45,10 +45,11 @@
     // exceed what is left, nodes that start, and reports that are lost.
     double usedOvershoot { 0.25 };
     double usedSlack { 0.8 };
-    // What all nodes together may use at their start, whatever the others admit: a multiple of the tolerance at once, and a share of the rate
-    // until the end of the startup phase. Most of it at once: before the nodes know of each other, requests that come together at one node
-    // have nothing else.
-    double startTolerance { 3.2 };
+    // What all nodes together may use at their start, whatever the others admit: at once a multiple of the tolerance and some seconds of the
+    // rate, and a share of the rate until the end of the startup phase. Most of it at once: requests that come together at one node before
+    // the nodes know of each other can be admitted from nothing else.
+    double startTolerance { 1.2 };
+    double startSeconds { 1.4 };
     double startRefill { 0.2 };
     // Of a node's even share of the burst: by how much one request may exceed the node's start reserve without a draw, and the largest debt
     // of the reserve. Debt beyond that is dropped.
@@ -175,8 +176,8 @@
     double toleratedAmount(const TrafficTeam&) const;
     // Amount above the limit that admissions may use.
     double usedTolerance(const TrafficTeam&) const;
-    // Amount above the limit that all nodes may use at their start.
-    double startTolerance(const TrafficTeam& team) const { return toleratedAmount(team) * m_options.startTolerance; }
+    // Amount that all nodes may use at once at their start.
+    double startAmount(const TrafficTeam& team) const { return toleratedAmount(team) * m_options.startTolerance + team.ratePerSecond * m_options.startSeconds; }
     // Whether another request may be admitted before the peers know what this node admitted last.
     bool isWithinPace(const TrafficTeam&, const Team&, SteadyTime now) const;
     // Returns the part of the amount that the start reserve covered.
