--- a/tests/modules/limits/test_limits_with_missing_nodes.cpp
+++ b/tests/modules/limits/test_limits_with_missing_nodes.cpp
@@ -47,6 +47,35 @@
     }
 }
 
+// Highest part of what is allowed that a team with a small limit gets while all nodes restart, so many times, during a surge. The slack of
+// the platform is then more than half a second of the team's rate.
+double highestUseOfSmallTeam(const FleetSize& size, unsigned restarts, std::uint64_t seed)
+{
+    Draw draw(seed);
+    auto options = fleetOptions(size, seed);
+    options.limits.tolerance.slackTokens = 190000;
+    FleetSimulation fleet(options);
+    fleet.run(seconds(5));
+    fleet.demandFactor = surge / usualShare;
+    fleet.run(draw.duration(0, 3000));
+    for (unsigned it = 0; it < restarts; ++it) {
+        for (unsigned n = 0; n < size.nodes; ++n)
+            fleet.kill(n);
+        fleet.run(seconds(1));
+        for (unsigned n = 0; n < size.nodes; ++n)
+            fleet.restart(n);
+        fleet.run(seconds(3));
+    }
+    fleet.run(seconds(4));
+    const auto& team = options.team;
+    auto allowed = (8 * team.ratePerSecond + team.burst) * (1 + tolerance.overshoot) + options.limits.tolerance.slackTokens;
+    return fleet.maximumAdmittedIn(tolerance.window) / allowed;
+}
+
+constexpr double smallLimit = 282000; // Tokens a second.
+
+const std::vector<FleetSize> fleetsOfSmallTeams { { .nodes = 9, .ratePerSecond = smallLimit, .usesRelays = false }, { .nodes = 9, .ratePerSecond = smallLimit }, { .nodes = 60, .ratePerSecond = smallLimit } };
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(LimitsWithMissingNodes)
@@ -156,6 +185,19 @@
     }
 }
 
+// Guards against a start reserve that is a multiple of the platform's tolerance: a small team got 1.07 of what is allowed.
+BOOST_AUTO_TEST_CASE(limit_of_a_small_team_holds_when_all_nodes_restart_in_a_surge)
+{
+    for (const auto& size : fleetsOfSmallTeams) {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            BOOST_TEST_CONTEXT(size.nodes << " nodes, seed " << seed)
+            {
+                BOOST_TEST(highestUseOfSmallTeam(size, 1, seed) < 1);
+            }
+        }
+    }
+}
+
 // A node that has not heard of any other after its startup phase used the complete limit.
 BOOST_AUTO_TEST_CASE(a_node_without_any_report_uses_only_its_even_share)
 {
@@ -256,6 +298,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A suite and CTest test of its own, so that KNOWN-RED.txt can list it.
+BOOST_AUTO_TEST_SUITE(LimitsInRepeatedRestarts)
+
+// Guards against a reserve that all nodes have again at each of several starts within one window.
+BOOST_AUTO_TEST_CASE(limit_of_a_small_team_holds_when_all_nodes_restart_twice_in_a_surge)
+{
+    for (const auto& size : fleetsOfSmallTeams) {
+        for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+            BOOST_TEST_CONTEXT(size.nodes << " nodes, seed " << seed)
+            {
+                BOOST_TEST(highestUseOfSmallTeam(size, 2, seed) < 1);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(TeamBucketTests)
 
 // Guards against charging nodes that reported in between: a silent part that returns without having spent leaves the level as it was.
