--- a/modules/duty/duty_runner.cpp
+++ b/modules/duty/duty_runner.cpp
@@ -33,8 +33,7 @@
 } // namespace
 
 DutyRunner::DutyRunner(asio::io_context& context, ObjectStore& store, CloudOrders& cloud, TrafficView& view, NodeSummarySlot& summary, const DutyOptions& options)
-    : m_context(context)
-    , m_store(store)
+    : m_store(store)
     , m_cloud(cloud)
     , m_view(view)
     , m_summary(summary)
--- a/modules/duty/duty_runner.h
+++ b/modules/duty/duty_runner.h
@@ -61,7 +61,6 @@
     bool hasTimeForCall() const;
     DutyAuthority authority() const { return { .holder = m_options.node, .fence = m_lease.fence() }; }
 
-    asio::io_context& m_context;
     ObjectStore& m_store;
     CloudOrders& m_cloud;
     TrafficView& m_view;
--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -267,6 +267,7 @@
 void PeerExchange::sendTo(const UsageNotice& notice, const std::vector<PeerContact>& receivers)
 {
     std::vector<Address> addresses;
+    addresses.reserve(receivers.size());
     for (const auto& it : receivers)
         addresses.push_back(it.gossipAddress);
     sendTo(addresses, MessageType::UsageNotice, notice);
--- a/tests/modules/control/test_store_follower.cpp
+++ b/tests/modules/control/test_store_follower.cpp
@@ -153,10 +153,11 @@
     Metrics metrics;
     CountedStore store(std::move(scripted), metrics);
     auto use = [&]() -> asio::awaitable<void> {
-        co_await store.listPage(StoreKind::Nodes, {}, ReadFreshness::Latest);
-        co_await store.listPage(StoreKind::Endpoints, {}, ReadFreshness::MayBeOld);
-        co_await store.listPage(StoreKind::Endpoints, {}, ReadFreshness::MayBeOld);
-        co_await store.watch(StoreKind::Configuration, 1, Milliseconds(1));
+        auto nodes = co_await store.listPage(StoreKind::Nodes, {}, ReadFreshness::Latest);
+        auto endpoints = co_await store.listPage(StoreKind::Endpoints, {}, ReadFreshness::MayBeOld);
+        auto endpointsAgain = co_await store.listPage(StoreKind::Endpoints, {}, ReadFreshness::MayBeOld);
+        auto changes = co_await store.watch(StoreKind::Configuration, 1, Milliseconds(1));
+        BOOST_TEST((nodes && endpoints && endpointsAgain && changes));
     };
     asio::co_spawn(context, use(), asio::detached);
     context.run();
