--- a/modules/limits/spending_pace.h
+++ b/modules/limits/spending_pace.h
@@ -114,13 +114,16 @@
     void updateAverageAmount(double amount, double maximumRecent)
     {
         ++m_requests;
-        if (m_requests <= 2) {
-            m_averageAmount = m_requests == 1 ? amount : std::min(m_averageAmount, amount);
+        if (m_requests == 1) {
+            m_averageAmount = amount;
+        } else if (m_requests == 2) {
+            m_averageAmount = std::min(m_averageAmount, amount);
             recountFirst(amount, maximumRecent);
         } else
             m_averageAmount += (amount - m_averageAmount) * averageAmountWeight;
     }
 
+    // The first request may be forgotten by now.
     void recountFirst(double averageAmount, double maximumRecent)
     {
         if (m_admissions.empty())
