--- a/tests/modules/limits/surging_team.h
+++ b/tests/modules/limits/surging_team.h
@@ -20,9 +20,9 @@
 }
 
 // Tokens that may be admitted in any window: the limit with everything that the platform tolerates above it.
-inline double maximumAllowed(const TrafficTeam& team)
+inline double maximumAllowed(const TrafficTeam& team, const TeamLimitTolerance& tolerated = tolerance)
 {
-    return (8 * team.ratePerSecond + team.burst) * (1 + tolerance.overshoot) + tolerance.slackTokens;
+    return (8 * team.ratePerSecond + team.burst) * (1 + tolerated.overshoot) + tolerated.slackTokens;
 }
 
 struct FleetSize {
--- a/tests/modules/limits/test_limits_with_missing_nodes.cpp
+++ b/tests/modules/limits/test_limits_with_missing_nodes.cpp
@@ -67,9 +67,7 @@
         fleet.run(seconds(3));
     }
     fleet.run(seconds(4));
-    const auto& team = options.team;
-    auto allowed = (8 * team.ratePerSecond + team.burst) * (1 + tolerance.overshoot) + options.limits.tolerance.slackTokens;
-    return fleet.maximumAdmittedIn(tolerance.window) / allowed;
+    return fleet.maximumAdmittedIn(tolerance.window) / maximumAllowed(options.team, options.limits.tolerance);
 }
 
 constexpr double smallLimit = 282000; // Tokens a second.
