Keep team limits when nodes restart after a burst

Callers of one team got 2 in 100 more than its limit within 8 s in which a burst and restarts of most nodes lay.

Cause: a node that had just started acted on a guess. Its reserve came on top of what had been spent in the same window, at each start again; what survivors knew was not told; and just after a start, when nodes report more often, each report counted as 0.2 s in the averages of demand, so that every node's share of the pace was up to four times too large.

The reserve is now the tolerance that admissions leave unused and one second of the rate. Nodes that ran before tell the levels of the limits (TeamLevels, a message of its own, fuzzed), relay nodes pass them on. Nodes report every 50 ms in their first two seconds, without relay nodes as well, and less often in zones of more than 50 nodes. Averages count the real time, and the pace what others cannot know by the intervals of reports.

--- a/core/net/frame.h
+++ b/core/net/frame.h
@@ -41,6 +41,7 @@
     CreditReturn = 22,
     EndpointSpeeds = 23, // Measured speeds and failures of endpoints, summed over nodes.
     AdmissionLoad = 24, // Demand on services and what their endpoints took, summed over nodes.
+    TeamLevels = 25, // Levels of the teams' limits, to a node that has just started.
 };
 
 struct Frame {
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -27,7 +27,9 @@
               .creditAnswer = [this](const CreditAnswer& answer, const Address& from) { limits.onCreditAnswer(answer, from); },
               .creditReturn = [this](const CreditReturn& returned) { limits.onCreditReturn(returned); },
               .speeds = [this](const SumUpdate<EndpointSpeedReport>& update) { endpointSpeeds.onUpdate(update, steadyNow()); },
-              .admissionLoad = [this](const SumUpdate<AdmissionLoad>& update) { admissionSum.onUpdate(update, steadyNow()); } })
+              .admissionLoad = [this](const SumUpdate<AdmissionLoad>& update) { admissionSum.onUpdate(update, steadyNow()); },
+              .teamLevels = [this](const TeamLevels& message) { onTeamLevels(message); },
+              .restartedRelays = [this](const std::vector<Address>& relays) { sendTeamLevels(relays); } })
     , readiness(context, entryOptions.readiness, [this](const HttpHead&) { return answerReadiness(); })
     , lifetime(wallMilliseconds())
     , limits(context, forward, exchange, relay, { .node = entryOptions.node, .lifetime = lifetime })
@@ -62,18 +64,37 @@
         forward.endpoints.resendLeavingMarks(steadyNow());
     if (isNewIncarnation && !usesRelays())
         exchange.sendTo(row.gossipAddress, ownRow());
-    if (isNewIncarnation && (!usesRelays() || relay.isRelay(steadyNow())))
+    if (isNewIncarnation && (!usesRelays() || relay.isRelay(steadyNow()))) {
         limits.sendInitialUpdate(row.gossipAddress);
+        sendTeamLevels({ row.gossipAddress });
+    }
     for (const auto& it : row.leavingEndpoints)
         forward.endpoints.markLeaving(it, steadyNow());
     forward.suspects.onPeerUpdate(row.suspects, steadyNow());
 }
 
+void EntryNode::RequestSide::sendTeamLevels(const std::vector<Address>& receivers)
+{
+    TeamLevels message { .levels = forward.teams.levels(steadyNow()) };
+    if (!message.levels.empty())
+        exchange.sendTo(receivers, MessageType::TeamLevels, message);
+}
+
+void EntryNode::RequestSide::onTeamLevels(const TeamLevels& message)
+{
+    auto now = steadyNow();
+    if (!forward.teams.onPeerLevels(message.levels, now))
+        return;
+    logEvent(LogLevel::Info, "team_levels_received", { { "teams", message.levels.size() } });
+    if (usesRelays() && relay.isRelay(now))
+        sendTeamLevels(relay.urgentReceivers(now));
+}
+
 asio::awaitable<void> EntryNode::RequestSide::gossip()
 {
     auto last = steadyNow();
     while (true) {
-        co_await sleepFor(context, usesRelays() ? relay.period(steadyNow()) : options.gossipPeriod);
+        co_await sleepFor(context, relay.period(steadyNow()));
         auto now = steadyNow();
         tick(now, std::chrono::duration<double>(now - last).count());
         last = now;
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -55,6 +55,11 @@
 
     // Handles a row, the state that another node sends each gossip period. `isNewIncarnation`: the first row since that node's last start.
     void onRow(const PeerRow& row, bool isNewIncarnation);
+    // Sends the levels of the teams' limits, as far as this node knows them, to nodes that have just started.
+    void sendTeamLevels(const std::vector<Address>& receivers);
+    // Applies the levels that another node knows. A relay node passes the first ones on, since most nodes that have just started hear only
+    // of relay nodes, which may have started as well.
+    void onTeamLevels(const TeamLevels&);
     asio::awaitable<void> gossip();
     // Once per gossip period; `seconds` have passed since the last call.
     void tick(SteadyTime now, double seconds);
--- a/modules/limits/spending_pace.h
+++ b/modules/limits/spending_pace.h
@@ -14,13 +14,14 @@
 // Exponentially weighted average of a rate, in units per second.
 class AverageRate {
 public:
-    // Adds the amount that was spent in the `seconds` before now.
+    // Adds the amount that was spent in the `seconds` before now. If that is no time, the amount is added with the next one.
     void add(double amount, double seconds)
     {
+        m_pending += amount;
         if (seconds <= 0)
             return;
         auto weight = 1 - std::exp(-seconds / averagingSeconds);
-        m_perSecond += weight * (amount / seconds - m_perSecond);
+        m_perSecond += weight * (std::exchange(m_pending, 0) / seconds - m_perSecond);
         m_weight += weight * (1 - m_weight);
     }
     // Divided by the weight of the observed time, so that the average is not too low at the start.
@@ -33,6 +34,7 @@
 
     double m_perSecond { 0 };
     double m_weight { 0 };
+    double m_pending { 0 };
 };
 
 class SpendingPace {
--- a/modules/limits/team_bucket.cpp
+++ b/modules/limits/team_bucket.cpp
@@ -73,6 +73,15 @@
     m_level = std::min(m_level, level);
 }
 
+void TeamBucket::setLevelOfAll(double level)
+{
+    m_level = level * share();
+    m_reserve = level * m_silentShare;
+    m_samples.clear();
+    limitLevel();
+    keepLevel();
+}
+
 void TeamBucket::limitLevel() { m_level = std::clamp(m_level, -m_ratePerSecond * m_options.maximumDebtSeconds, m_burst * share()); }
 
 void TeamBucket::keepLevel()
--- a/modules/limits/team_bucket.h
+++ b/modules/limits/team_bucket.h
@@ -31,7 +31,12 @@
     // back; what they spent is charged by their reports.
     void setSilentShare(double share, Milliseconds silence, SteadyTime now);
 
+    // Replaces the level, of all nodes together, by one that another node knows.
+    void setLevelOfAll(double level);
+
     double level() const { return m_level; }
+    // The level with what is kept apart for silent nodes.
+    double levelOfAll() const { return m_level + m_reserve; }
     double silentShare() const { return m_silentShare; }
 
 private:
--- a/modules/limits/team_limits.cpp
+++ b/modules/limits/team_limits.cpp
@@ -1,6 +1,7 @@
 #include "modules/limits/team_limits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Onyxnotch {
 
@@ -9,20 +10,28 @@
     double seconds(SteadyTime::duration duration) { return std::chrono::duration<double>(duration).count(); }
 
     constexpr double latestReportWeight = 0.4; // Weight of the latest report in the rate of a peer: follows a change within a second.
-    // Minimum time between two reports of a peer that a rate is calculated from; slightly less than the gossip period.
+    // Minimum time between two reports of a peer that its latest rate is calculated from; slightly less than the gossip period. Delayed
+    // reports arrive in quick succession, which must not be mistaken for a burst of requests.
     constexpr double minReportPeriodSeconds = 0.2;
     constexpr Milliseconds maxRetryDelay { 2000 }; // Upper bound of the delay that a refusal returns.
     constexpr Milliseconds minRetryDelay { 100 };
+    constexpr Milliseconds reportIntervalWindow { 1000 }; // Time in which the longest interval between reports counts.
     const std::string fleetPeerName; // Key in `m_peers` that stands for all other nodes of a large fleet. No node has an empty name.
     constexpr double maxSilentShare = 0.1; // If the share of silent nodes is larger, this node itself may be cut off from the fleet.
 
 } // namespace
 
-void TeamLimits::PeerUse::updateRate(double newTotal, double elapsedSeconds)
+void TeamLimits::PeerUse::updateRate(double newTotal, double elapsedSeconds, bool isStartingUp)
 {
-    auto latest = std::max(0.0, newTotal - total) / elapsedSeconds;
+    auto growth = std::max(0.0, newTotal - total);
+    average.add(growth, elapsedSeconds);
+    unratedAmount += growth;
+    unratedSeconds += elapsedSeconds;
+    // Nodes that have just started report more often.
+    if (isStartingUp && unratedSeconds < minReportPeriodSeconds)
+        return;
+    auto latest = std::exchange(unratedAmount, 0) / std::max(std::exchange(unratedSeconds, 0), minReportPeriodSeconds);
     perSecond = perSecond ? *perSecond + latestReportWeight * (latest - *perSecond) : latest;
-    average.add(std::max(0.0, newTotal - total), elapsedSeconds);
 }
 
 TeamLimits::TeamLimits(SteadyTime startedAt, const TeamLimitsOptions& options)
@@ -96,6 +105,9 @@
 {
     if (!isStartingUp(now))
         return team.burst;
+    auto reported = m_startLevels.find(team.name);
+    if (reported != m_startLevels.end())
+        return std::min(team.burst, reported->second.level + team.ratePerSecond * seconds(now - reported->second.at));
     auto accumulated = team.ratePerSecond * seconds(now - m_startedAt) * spendableShare(now);
     return std::min(team.burst, accumulated - toleratedAmount(team) * m_options.assumedDebt);
 }
@@ -185,6 +197,13 @@
     return latest;
 }
 
+// Nodes that have just started exchange their state more often: a row, a zone aggregate and a fleet aggregate, one after the other.
+Milliseconds TeamLimits::propagationTime() const
+{
+    constexpr int messages = 3;
+    return m_reportInterval ? std::min(m_options.propagationTime, *m_reportInterval * messages) : m_options.propagationTime;
+}
+
 void TeamLimits::updatePace(Team& team, SteadyTime now) const
 {
     auto reportAt = latestReportAt();
@@ -193,7 +212,7 @@
         team.pace.updateAverage(now);
     team.paceReportAt = reportAt;
     auto sinceReport = reportAt == SteadyTime {} ? Milliseconds(0) : std::max(Milliseconds(0), toMilliseconds(now - reportAt));
-    team.pace.forgetOlderThan(m_options.propagationTime + sinceReport, now);
+    team.pace.forgetOlderThan(propagationTime() + sinceReport, now);
 }
 
 double TeamLimits::paceShare(const std::string& name, const Team& team) const
@@ -229,7 +248,7 @@
 
 bool TeamLimits::isWithinStartReserve(const TrafficTeam& team, Team& state, double amount, SteadyTime now)
 {
-    if (!hasTolerance() || !isStartingUp(now))
+    if (!hasTolerance() || !isStartingUp(now) || m_startLevels.contains(team.name))
         return false;
     auto& reserve = state.startReserve;
     auto share = evenShare(0);
@@ -288,12 +307,47 @@
         m_ownTotals[team.name] += amount;
         return std::nullopt;
     }
-    auto wait = m_options.propagationTime;
+    auto wait = propagationTime();
     if (!isWithinLimit)
         wait = Milliseconds(static_cast<std::int64_t>((required - level) / team.ratePerSecond * 1000));
     return std::clamp(wait, minRetryDelay, maxRetryDelay);
 }
 
+std::map<std::string, double> TeamLimits::levels(SteadyTime now) const
+{
+    std::map<std::string, double> levels;
+    if (isStartingUp(now)) {
+        for (const auto& [name, reported] : m_startLevels)
+            levels[name] = reported.level;
+        return levels;
+    }
+    for (const auto& [name, team] : m_teams)
+        levels[name] = team.bucket.levelOfAll();
+    return levels;
+}
+
+// The sender may not know what this node has admitted since its start.
+bool TeamLimits::onPeerLevels(const std::map<std::string, double>& levels, SteadyTime now)
+{
+    if (!isStartingUp(now))
+        return false;
+    bool areFirst = m_startLevels.empty() && !levels.empty();
+    for (const auto& [name, level] : levels) {
+        auto [it, isFirst] = m_startLevels.try_emplace(name, ReportedLevel { .level = level, .at = now });
+        if (!isFirst && level < it->second.level)
+            it->second = { .level = level, .at = now };
+        auto team = m_teams.find(name);
+        if (team == m_teams.end())
+            continue;
+        auto& bucket = team->second.bucket;
+        auto remaining = level - m_ownTotals[name];
+        if (isFirst || remaining < bucket.levelOfAll())
+            bucket.setLevelOfAll(remaining);
+        team->second.startReserve.level = std::min(0.0, team->second.startReserve.level);
+    }
+    return areFirst;
+}
+
 std::optional<TeamLimitState> TeamLimits::state(const TrafficTeam& team, SteadyTime now) const
 {
     auto it = m_teams.find(team.name);
@@ -333,8 +387,7 @@
     auto overlapShare = age > SteadyTime::duration::zero() ? std::min(1.0, seconds(now - m_startedAt) / seconds(age)) : 1;
     if (isFirst)
         peer = { .lifetime = lifetime, .receivedAt = now };
-    // Delayed reports arrive in quick succession, which must not be mistaken for a burst of requests.
-    auto elapsed = std::max(seconds(now - peer.receivedAt), minReportPeriodSeconds);
+    auto elapsed = seconds(now - peer.receivedAt);
     peer.receivedAt = now;
     for (const auto& [team, total] : totals) {
         auto& use = peer.uses[team];
@@ -343,7 +396,7 @@
         if (isUnknown)
             use.charged = total * (1 - overlapShare);
         if (!isFirst)
-            use.updateRate(total, elapsed);
+            use.updateRate(total, elapsed, isStartingUp(now));
         use.total = total;
     }
     chargeReports(now);
@@ -357,6 +410,8 @@
 
 void TeamLimits::chargeReports(SteadyTime now)
 {
+    if (!isStartingUp(now))
+        m_startLevels.clear();
     for (auto& [name, team] : m_teams) {
         advance(name, team, now);
         team.bucket.keepLevel();
@@ -389,6 +444,8 @@
     auto sinceReport = receivedAt - fleet.receivedAt;
     bool wasSilent = sinceReport > m_options.freshFor;
     fleet.receivedAt = receivedAt;
+    if (!isFirst)
+        m_reportInterval = Milliseconds(m_recentIntervals.take(static_cast<unsigned>(toMilliseconds(sinceReport).count()), receivedAt, reportIntervalWindow));
     for (const auto& [team, total] : totals) {
         if (isFirst) {
             fleet.uses[team] = { .total = total, .perSecond = std::nullopt, .charged = total };
@@ -396,7 +453,7 @@
         }
         auto& use = fleet.uses[team];
         if (!wasSilent)
-            use.updateRate(total, std::max(seconds(sinceReport), minReportPeriodSeconds));
+            use.updateRate(total, seconds(sinceReport), isStartingUp(receivedAt));
         use.total = total;
     }
     chargeReports(receivedAt);
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/sliding_maximum.h"
 #include "modules/limits/spending_pace.h"
 #include "modules/limits/team_bucket.h"
 #include "modules/traffic/traffic_configuration.h"
@@ -45,15 +46,15 @@
     // exceed what is left, nodes that start, and reports that are lost.
     double usedOvershoot { 0.25 };
     double usedSlack { 0.8 };
-    // What all nodes together may use at their start, whatever the others admit: at once a multiple of the tolerance and some seconds of the
-    // rate, and a share of the rate until the end of the startup phase. Most of it at once: requests that come together at one node before
-    // the nodes know of each other can be admitted from nothing else.
-    double startTolerance { 1.2 };
-    double startSeconds { 1.4 };
+    // What all nodes together may use at their start, before they know what was admitted earlier: a share of the tolerance that admissions
+    // leave unused, so that a burst and a restart in the same window keep within the tolerance, and the rate of some seconds, since nothing
+    // is admitted while processes are down. A share of the rate is added until the end of the startup phase.
+    double startTolerance { 1 };
+    double startSeconds { 1 };
     double startRefill { 0.2 };
     // Of a node's even share of the burst: by how much one request may exceed the node's start reserve without a draw, and the largest debt
     // of the reserve. Debt beyond that is dropped.
-    double startOverdraw { 0.5 };
+    double startOverdraw { 0.15 };
     double startDebtLimit { 0.1 };
     // Share of the tolerance that a starting node assumes to be in use, besides the complete burst.
     double assumedDebt { 0.05 };
@@ -62,7 +63,7 @@
     // With relay nodes: time from a node's last row until the other nodes learn that it is silent. Six gossip periods until a relay node
     // detects it, and three for the aggregates.
     Milliseconds silenceDetectedAfter { 2250 };
-    // Time until peers know what this node admitted: three gossip periods, through two relay nodes.
+    // Time until peers know what this node admitted, at most: three gossip periods, through two relay nodes.
     Milliseconds propagationTime { 750 };
     // Share of the pace that is divided evenly over the nodes. The remainder is divided by demand, which is unknown for a node that gets
     // its first requests of a team.
@@ -105,6 +106,11 @@
     // Sets the best known number of nodes, including this one. From then on a node that has not received any report has only its even share.
     void setExpectedNodes(unsigned nodes);
     unsigned expectedNodes() const { return m_options.expectedNodes; }
+    // Levels of the teams, for nodes that have just started. Without those of which this node does not know what was admitted before its start.
+    std::map<std::string, double> levels(SteadyTime now) const;
+    // Replaces what this node assumed at its start by the levels that a node from before knows. Its start reserve ends with that. Returns
+    // whether these are the first ones; after the startup phase they are ignored.
+    bool onPeerLevels(const std::map<std::string, double>& levels, SteadyTime now);
     // State at the last decision on a request of the team. Empty if there was none.
     std::optional<TeamLimitState> state(const TrafficTeam&, SteadyTime now) const;
     // Totals that this node admitted, to be sent to its peers.
@@ -116,8 +122,10 @@
         std::optional<double> perSecond { 0 }; // No value if there was only one report yet.
         double charged { 0 }; // Amount of this incarnation that is already charged to the bucket.
         AverageRate average {};
+        double unratedAmount { 0 }; // Growth that `perSecond` does not include yet,
+        double unratedSeconds { 0 }; // and the time since it was last updated.
 
-        void updateRate(double newTotal, double elapsedSeconds);
+        void updateRate(double newTotal, double elapsedSeconds, bool isStartingUp);
     };
 
     struct Peer {
@@ -144,6 +152,12 @@
         StartReserve startReserve {};
     };
 
+    // A team's level at the time of its report.
+    struct ReportedLevel {
+        double level { 0 };
+        SteadyTime at {};
+    };
+
     // Nodes that do not report, as a share of all (0 to 1), and the time since the reports of those that became silent last.
     struct Silence {
         double share { 0 };
@@ -177,7 +191,7 @@
     // Amount above the limit that admissions may use.
     double usedTolerance(const TrafficTeam&) const;
     // Amount that all nodes may use at once at their start.
-    double startAmount(const TrafficTeam& team) const { return toleratedAmount(team) * m_options.startTolerance + team.ratePerSecond * m_options.startSeconds; }
+    double startAmount(const TrafficTeam& team) const { return (toleratedAmount(team) - usedTolerance(team)) * m_options.startTolerance + team.ratePerSecond * m_options.startSeconds; }
     // Whether another request may be admitted before the peers know what this node admitted last.
     bool isWithinPace(const TrafficTeam&, const Team&, SteadyTime now) const;
     // Returns the part of the amount that the start reserve covered.
@@ -189,6 +203,8 @@
     // This node's share if all nodes that report have the same.
     double evenShare(double silentShare) const;
     SteadyTime latestReportAt() const; // SteadyTime {} if no peer has reported.
+    // Time until peers know what this node admitted.
+    Milliseconds propagationTime() const;
     // This node's share of what all nodes that report may admit: partly even, partly by demand.
     double paceShare(const std::string& name, const Team&) const;
     // Updates the team's pace with the age of the latest report of any peer.
@@ -205,7 +221,10 @@
     std::map<std::string, Team> m_teams {};
     std::map<std::string, double> m_ownTotals {};
     std::map<std::string, Peer> m_peers {};
+    std::map<std::string, ReportedLevel> m_startLevels {}; // The lowest ones that nodes from before this node's start have reported.
     bool m_usesFleetTotals { false };
+    std::optional<Milliseconds> m_reportInterval {}; // Longest recent interval between reports of relay nodes. Empty if there were no two.
+    SlidingMaximum m_recentIntervals {};
     std::minstd_rand m_random;
     double m_silentNodes { 0 }; // As the relay nodes report or reported before.
     SteadyTime m_silentReportedAt {}; // When they last reported as many.
--- a/modules/peers/fleet_relay.cpp
+++ b/modules/peers/fleet_relay.cpp
@@ -33,6 +33,14 @@
 {
 }
 
+Milliseconds FleetRelay::period(SteadyTime now) const
+{
+    if (!isStarting(now))
+        return m_options.period;
+    auto byZone = m_options.startPeriodPerNode * static_cast<int>(m_table.contactsIn(m_options.zone).size());
+    return std::clamp(byZone, std::min(m_options.startPeriod, m_options.period), m_options.period);
+}
+
 bool FleetRelay::isNeeded(unsigned listed) const
 {
     auto known = std::max<std::size_t>(listed, m_table.contacts().size() + 1);
@@ -74,6 +82,8 @@
     bool older = !added && (sum.relay.lifetime < known.sum.relay.lifetime || (sum.relay.lifetime == known.sum.relay.lifetime && sum.sequence <= known.sum.sequence));
     if (older)
         return false;
+    if (!added && sum.relay.lifetime > known.sum.relay.lifetime)
+        m_restartedRelays.push_back(sum.relay.gossipAddress);
     known.sum = sum;
     known.receivedAt = now;
     known.clockDifference = static_cast<std::int64_t>(sum.fleetTimeMilliseconds) - steadyMilliseconds(now);
--- a/modules/peers/fleet_relay.h
+++ b/modules/peers/fleet_relay.h
@@ -14,6 +14,7 @@
 #include <deque>
 #include <optional>
 #include <random>
+#include <utility>
 
 namespace Onyxnotch {
 
@@ -23,10 +24,11 @@
     // A fleet up to this size needs no relay nodes: every node receives the rows of every other one within two periods.
     unsigned everyNodeUpTo { 16 };
     Milliseconds period { 250 }; // Interval between this node's rows.
-    // Interval between rows during `startTime`. After its start a node admits only its own share of the teams' limits until it has received
-    // state of the others: in the four seconds around a power loss of 295 nodes, 1,245 requests were refused for that. With a row every 100
-    // ms, state of nearly all nodes arrives within half a second.
-    Milliseconds startPeriod { 100 };
+    // Interval between rows during `startTime`, with or without relay nodes: at least `startPeriod`, and `startPeriodPerNode` for each node of
+    // the zone, so that the aggregates of a relay node do not fill its link. After its start a node admits only a small share of the teams'
+    // limits until it has received state of the others.
+    Milliseconds startPeriod { 50 };
+    Milliseconds startPeriodPerNode { 1 };
     Milliseconds startTime { 2000 };
     Milliseconds freshFor { 1500 }; // Maximum age of rows and aggregates: six gossip periods. Senders of older ones count as silent.
     Milliseconds silentFor { 20000 }; // A node silent for longer counts as removed and gets no share of the teams' limits.
@@ -56,7 +58,7 @@
     void onFleetAggregate(const GroupAggregate&, SteadyTime now);
 
     // Time until this node's next row.
-    Milliseconds period(SteadyTime now) const { return isStarting(now) ? m_options.startPeriod : m_options.period; }
+    Milliseconds period(SteadyTime now) const;
     // Whether a relay node sends the fleet aggregate in this period. As it has several kilobytes, each relay node sends it in every second
     // period only, except just after the start.
     bool isFleetAggregateDue(SteadyTime now) const { return isStarting(now) || (m_ownRow.sequence + shortNameOf(m_options.node)) % 2 == 0; }
@@ -77,6 +79,8 @@
     std::vector<Address> otherZonesReceivers(SteadyTime now);
     // Other relay nodes of all zones, as far as this node knows them.
     std::vector<Address> otherRelays(SteadyTime now);
+    // Relay nodes that have started since they were last heard of, and since the last call.
+    std::vector<Address> takeRestartedRelays() { return std::exchange(m_restartedRelays, {}); }
     // Nodes that use this one as relay node.
     std::vector<Address> members(SteadyTime now) const;
     const std::string& node() const { return m_options.node; }
@@ -150,6 +154,7 @@
     SteadyTime m_totalsReceivedAt {};
     SlidingMaximum m_recentNodes {}; // Largest number of nodes in one aggregate during the last `silentFor`.
     MergedTotals m_fleetTotals {}; // Of all other nodes, merged from the aggregates of this zone's relay nodes.
+    std::vector<Address> m_restartedRelays {};
     std::map<std::string, SteadyTime> m_members {}; // Nodes that use this one as relay node, with the time of their last row.
     std::minstd_rand m_random;
 };
--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -96,6 +96,8 @@
     }
     case MessageType::AdmissionLoad:
         return handleAdmissionLoad(frame);
+    case MessageType::TeamLevels:
+        return handleTeamLevels(frame);
     case MessageType::ZoneAggregate:
     case MessageType::FleetAggregate:
         return handleAggregate(frame);
@@ -131,6 +133,9 @@
         m_relay.onZoneAggregate(sum, steadyNow());
     else
         m_relay.onFleetAggregate(sum, steadyNow());
+    auto restarted = m_relay.takeRestartedRelays();
+    if (!restarted.empty() && m_receivers.restartedRelays)
+        m_receivers.restartedRelays(restarted);
     return success();
 }
 
@@ -169,6 +174,16 @@
     return success();
 }
 
+Status PeerExchange::handleTeamLevels(const Frame& frame)
+{
+    BOOST_OUTCOME_TRY(message, unpackMessage<TeamLevels>(frame.type, frame));
+    if (!message.isSound())
+        return Error { ErrorCode::InvalidArgument, "team levels with values out of range" };
+    if (m_receivers.teamLevels)
+        m_receivers.teamLevels(message);
+    return success();
+}
+
 Address PeerExchange::sender() const { return { .host = m_sender.address().to_string(), .port = m_sender.port() }; }
 
 void PeerExchange::addContact(const PeerContact& contact) { m_table.addContact(contact, steadyNow()); }
--- a/modules/peers/peer_exchange.h
+++ b/modules/peers/peer_exchange.h
@@ -11,6 +11,7 @@
 #include "modules/peers/limit_messages.h"
 #include "modules/peers/peer_table.h"
 #include "modules/peers/relayed_sum.h"
+#include "modules/peers/team_levels.h"
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
@@ -48,6 +49,8 @@
     std::function<void(const CreditReturn&)> creditReturn {};
     std::function<void(const SumUpdate<EndpointSpeedReport>&)> speeds {};
     std::function<void(const SumUpdate<AdmissionLoad>&)> admissionLoad {};
+    std::function<void(const TeamLevels&)> teamLevels {};
+    std::function<void(const std::vector<Address>&)> restartedRelays {}; // Addresses of relay nodes that have started again.
 };
 
 class PeerExchange {
@@ -101,6 +104,7 @@
     Status handleLimitUpdate(const Frame&);
     Status handleCreditMessage(const Frame&);
     Status handleAdmissionLoad(const Frame&);
+    Status handleTeamLevels(const Frame&);
     Address sender() const;
     void addRandomAddresses(std::vector<PeerContact> contacts, std::size_t maximum, std::vector<Address>& addresses);
     std::vector<PeerContact> randomContacts();
--- a/tests/fuzz/fuzz_documents.cpp
+++ b/tests/fuzz/fuzz_documents.cpp
@@ -6,9 +6,11 @@
 #include "modules/admission/shared_admission.h"
 #include "modules/balance/endpoint_speeds.h"
 #include "modules/control/endpoint_history.h"
+#include "modules/limits/team_limits.h"
 #include "modules/peers/group_aggregate.h"
 #include "modules/peers/limit_messages.h"
 #include "modules/peers/relayed_sum.h"
+#include "modules/peers/team_levels.h"
 #include "modules/suspects/suspect_tracker.h"
 #include "platform/decoders.h"
 #include "platform/store_pages.h"
@@ -146,9 +148,28 @@
     }
 }
 
+// Levels that pass the check must leave the level of a node that has just started within its bounds.
+void checkTeamLevels(const TeamLevels& message)
+{
+    if (!message.isSound())
+        return;
+    constexpr SteadyTime now { std::chrono::hours(1) };
+    TeamLimits limits(now, { .tolerance = { .overshoot = 0.1 }, .randomSeed = 1 });
+    limits.onPeerLevels(message.levels, now);
+    for (const auto& [name, level] : message.levels) {
+        TrafficTeam team;
+        team.name = name;
+        team.ratePerSecond = 1;
+        team.burst = 2;
+        limits.admit(team, 1, now);
+        auto state = limits.state(team, now);
+        require(state && state->level <= team.burst);
+    }
+}
+
 void checkMessages(const std::string& bytes)
 {
-    for (auto type : { MessageType::PeerRow, MessageType::ZoneAggregate, MessageType::PrefillNotice, MessageType::UsageNotice, MessageType::SuspectNotice, MessageType::LimitUpdate, MessageType::CreditRequest, MessageType::CreditAnswer, MessageType::CreditReturn, MessageType::EndpointSpeeds, MessageType::AdmissionLoad }) {
+    for (auto type : { MessageType::PeerRow, MessageType::ZoneAggregate, MessageType::PrefillNotice, MessageType::UsageNotice, MessageType::SuspectNotice, MessageType::LimitUpdate, MessageType::CreditRequest, MessageType::CreditAnswer, MessageType::CreditReturn, MessageType::EndpointSpeeds, MessageType::AdmissionLoad, MessageType::TeamLevels }) {
         Frame frame { .type = type, .payload = bytes };
         if (auto sum = unpackMessage<GroupAggregate>(type, frame))
             (void)sum.value().isSound();
@@ -161,6 +182,8 @@
             checkSpeeds(update.value());
         if (auto update = unpackMessage<SumUpdate<AdmissionLoad>>(type, frame))
             checkAdmission(update.value());
+        if (auto message = unpackMessage<TeamLevels>(type, frame))
+            checkTeamLevels(message.value());
         if (auto ask = unpackMessage<CreditRequest>(type, frame))
             (void)ask.value().isSound();
         (void)unpackMessage<CreditAnswer>(type, frame);
--- a/tests/modules/limits/test_limits_in_restarts.cpp
+++ b/tests/modules/limits/test_limits_in_restarts.cpp
@@ -136,3 +136,71 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(LevelsAtTheStart)
+
+// Guards against a starting node that spends its reserve although others know that nothing is left.
+BOOST_AUTO_TEST_CASE(a_node_that_has_just_started_uses_the_level_that_others_know)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    auto limited = team(1e6);
+    for (bool isTeamKnown : { false, true }) {
+        TeamLimits limits(start, { .tolerance = tolerance, .randomSeed = 1 });
+        limits.setExpectedNodes(10);
+        if (isTeamKnown)
+            BOOST_TEST(!limits.admit(limited, 1000, start).has_value());
+        BOOST_TEST(limits.onPeerLevels({ { limited.name, -1e6 } }, start));
+        BOOST_TEST(!limits.onPeerLevels({ { limited.name, -1e6 } }, start));
+        BOOST_TEST(limits.admit(limited, 1000, start).has_value());
+        auto other = limited;
+        other.name = "other";
+        BOOST_TEST(!limits.admit(other, 1000, start).has_value());
+    }
+}
+
+// Guards against a starting node that passes on an assumed level as a known one.
+BOOST_AUTO_TEST_CASE(a_node_tells_levels_only_once_it_knows_them)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    auto limited = team(1e6);
+    TeamLimits limits(start, { .tolerance = tolerance, .randomSeed = 1 });
+    limits.setExpectedNodes(2);
+    limits.onPeerTotals("other", 1, seconds(0), {}, start);
+    limits.admit(limited, 1000, start);
+    BOOST_TEST(limits.levels(start).empty());
+    limits.onPeerLevels({ { limited.name, 5e5 } }, start);
+    BOOST_TEST(limits.levels(start).at(limited.name) == 5e5);
+    auto later = start + seconds(5);
+    BOOST_TEST(!limits.onPeerLevels({ { limited.name, -1e6 } }, later));
+    BOOST_TEST(limits.levels(later).at(limited.name) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_level_of_all_nodes_is_shared_with_the_silent_ones)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    TeamBucket bucket(1000, start);
+    bucket.setLimit(100, 1000);
+    bucket.setSilentShare(0.25, Milliseconds(0), start);
+    bucket.setLevelOfAll(400);
+    BOOST_TEST(bucket.level() == 300);
+    BOOST_TEST(bucket.levelOfAll() == 400);
+}
+
+// Nodes that have just started report more often; each report counted as the minimum period, so the others' demand seemed a quarter of it.
+BOOST_AUTO_TEST_CASE(frequent_reports_do_not_lower_the_others_demand)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    auto limited = team(1e6);
+    TeamLimits limits(start, { .expectedNodes = 2, .tolerance = tolerance, .randomSeed = 1 });
+    for (int n = 1; n <= 80; ++n) {
+        auto now = start + Milliseconds(50 * n);
+        limits.onPeerTotals("other", 1, Milliseconds(50 * n), { { limited.name, n * 1000.0 } }, now);
+        limits.admit(limited, 1000, now);
+    }
+    auto state = limits.state(limited, start + seconds(4));
+    BOOST_REQUIRE(state);
+    BOOST_TEST(state->share > 0.48);
+    BOOST_TEST(state->share < 0.52);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/modules/peers/fleet_simulation.h
+++ b/tests/modules/peers/fleet_simulation.h
@@ -5,6 +5,7 @@
 #include "core/net/frame.h"
 #include "modules/limits/team_limits.h"
 #include "modules/peers/fleet_relay.h"
+#include "modules/peers/team_levels.h"
 #include "modules/suspects/suspect_tracker.h"
 #include <memory>
 #include <queue>
@@ -137,7 +138,7 @@
     struct FleetMessage {
         GroupAggregate sum {};
     };
-    using Message = std::variant<Tick, Arrival, std::shared_ptr<const SuspectUpdate>, std::shared_ptr<const PeerRow>, std::shared_ptr<const ZoneMessage>, std::shared_ptr<const FleetMessage>>;
+    using Message = std::variant<Tick, Arrival, std::shared_ptr<const SuspectUpdate>, std::shared_ptr<const PeerRow>, std::shared_ptr<const TeamLevels>, std::shared_ptr<const ZoneMessage>, std::shared_ptr<const FleetMessage>>;
 
     struct Event {
         SteadyTime at {};
@@ -201,10 +202,14 @@
                 sendSuspects(event.node);
         } else if (const auto* row = std::get_if<std::shared_ptr<const PeerRow>>(&event.message)) {
             onRow(event.node, **row);
+        } else if (const auto* levels = std::get_if<std::shared_ptr<const TeamLevels>>(&event.message)) {
+            if (node.limits->onPeerLevels((*levels)->levels, m_now) && m_options.usesRelays && node.relay->isRelay(m_now))
+                sendLevels(event.node, node.relay->urgentReceivers(m_now));
         } else if (const auto* zone = std::get_if<std::shared_ptr<const ZoneMessage>>(&event.message))
             node.relay->onZoneAggregate((*zone)->sum, m_now);
         else if (const auto* fleet = std::get_if<std::shared_ptr<const FleetMessage>>(&event.message))
             node.relay->onFleetAggregate((*fleet)->sum, m_now);
+        sendLevels(event.node, node.relay->takeRestartedRelays());
     }
 
     void onRow(unsigned n, const PeerRow& row)
@@ -215,6 +220,8 @@
             return;
         node.relay->onRow(row, m_now);
         node.suspects->onPeerUpdate(row.suspects, m_now);
+        if (isNewIncarnation && (!m_options.usesRelays || node.relay->isRelay(m_now)))
+            sendLevels(n, { row.gossipAddress });
         if (m_options.usesRelays)
             return;
         node.limits->onPeerTotals(row.node, row.lifetime, Milliseconds(row.ageMilliseconds), row.teamTotals, m_now);
@@ -222,6 +229,15 @@
             send(n, { row.gossipAddress }, std::make_shared<const PeerRow>(nextRow(n)));
     }
 
+    void sendLevels(unsigned n, const std::vector<Address>& receivers)
+    {
+        if (receivers.empty())
+            return;
+        TeamLevels message { .levels = m_nodes[n].limits->levels(m_now) };
+        if (!message.levels.empty())
+            send(n, receivers, std::make_shared<const TeamLevels>(std::move(message)));
+    }
+
     void onArrival(unsigned n)
     {
         ++requested;
@@ -255,6 +271,7 @@
     static std::size_t bytesOf(const std::shared_ptr<const ZoneMessage>& message) { return packMessage(MessageType::ZoneAggregate, message->sum).payload.size(); }
     static std::size_t bytesOf(const std::shared_ptr<const FleetMessage>& message) { return packMessage(MessageType::FleetAggregate, message->sum).payload.size(); }
     static std::size_t bytesOf(const std::shared_ptr<const SuspectUpdate>& news) { return packMessage(MessageType::SuspectNotice, *news).payload.size(); }
+    static std::size_t bytesOf(const std::shared_ptr<const TeamLevels>& message) { return packMessage(MessageType::TeamLevels, *message).payload.size(); }
     static std::size_t bytesOf(Tick) { return 0; }
     static std::size_t bytesOf(Arrival) { return 0; }
 
@@ -278,7 +295,7 @@
             exchangeThroughRelays(n, row);
         else
             exchangeDirectly(n, row);
-        push(n, m_options.usesRelays ? node.relay->period(m_now) : m_options.period, Tick {}, node.lifetime);
+        push(n, node.relay->period(m_now), Tick {}, node.lifetime);
     }
 
     void exchangeDirectly(unsigned n, const PeerRow& row)
--- a/tests/modules/peers/test_fleet_relay.cpp
+++ b/tests/modules/peers/test_fleet_relay.cpp
@@ -267,6 +267,23 @@
     BOOST_TEST(nodesKnown / 295 > 280);
 }
 
+// Guards against relay nodes that have started again and hear from nobody what is left of the limits.
+BOOST_AUTO_TEST_CASE(a_relay_node_that_has_started_again_is_noticed_once)
+{
+    PeerTable table("own");
+    FleetRelay relay(table, { .node = "own", .zone = "a" }, SteadyTime { std::chrono::hours(1) });
+    GroupAggregate sum { .relay = { .node = "relay", .lifetime = 1, .gossipAddress = { .host = "10.0.0.1", .port = 1 }, .zone = "a" }, .sequence = 1, .nodes = 3 };
+    auto now = SteadyTime { std::chrono::hours(1) } + seconds(10);
+    relay.onFleetAggregate(sum, now);
+    BOOST_TEST(relay.takeRestartedRelays().empty());
+    sum.relay.lifetime = 2;
+    relay.onFleetAggregate(sum, now);
+    BOOST_TEST(relay.takeRestartedRelays().size() == 1U);
+    sum.sequence = 2;
+    relay.onFleetAggregate(sum, now);
+    BOOST_TEST(relay.takeRestartedRelays().empty());
+}
+
 BOOST_AUTO_TEST_CASE(aggregates_with_values_out_of_range_are_not_sound)
 {
     GroupAggregate sum { .relay = { .node = "a" }, .nodes = 3, .teamTotals = { { "t", 5 } } };
