--- a/modules/limits/spending_pace.h
+++ b/modules/limits/spending_pace.h
@@ -34,7 +34,7 @@
 
     double m_perSecond { 0 };
     double m_weight { 0 };
-    double m_pending { 0 };
+    double m_pending { 0 }; // Amount that is not in the average yet.
 };
 
 class SpendingPace {
--- a/modules/limits/team_bucket.cpp
+++ b/modules/limits/team_bucket.cpp
@@ -73,6 +73,7 @@
     m_level = std::min(m_level, level);
 }
 
+// Past levels were assumed ones, from which no present level may be recomputed.
 void TeamBucket::setLevelOfAll(double level)
 {
     m_level = level * share();
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -48,7 +48,8 @@
     double usedSlack { 0.8 };
     // What all nodes together may use at their start, before they know what was admitted earlier: a share of the tolerance that admissions
     // leave unused, so that a burst and a restart in the same window keep within the tolerance, and the rate of some seconds, since nothing
-    // is admitted while processes are down. A share of the rate is added until the end of the startup phase.
+    // is admitted while processes are down. A share of the rate is added until the end of the startup phase. Most of it at once: requests
+    // that come together at one node before the nodes know of each other can be admitted from nothing else.
     double startTolerance { 1 };
     double startSeconds { 1 };
     double startRefill { 0.2 };
--- a/modules/peers/fleet_relay.h
+++ b/modules/peers/fleet_relay.h
@@ -154,7 +154,7 @@
     SteadyTime m_totalsReceivedAt {};
     SlidingMaximum m_recentNodes {}; // Largest number of nodes in one aggregate during the last `silentFor`.
     MergedTotals m_fleetTotals {}; // Of all other nodes, merged from the aggregates of this zone's relay nodes.
-    std::vector<Address> m_restartedRelays {};
+    std::vector<Address> m_restartedRelays {}; // Since the last takeRestartedRelays().
     std::map<std::string, SteadyTime> m_members {}; // Nodes that use this one as relay node, with the time of their last row.
     std::minstd_rand m_random;
 };
--- a/tests/modules/limits/test_limits_in_restarts.cpp
+++ b/tests/modules/limits/test_limits_in_restarts.cpp
@@ -115,6 +115,7 @@
     checkLimitAfterBurst([](FleetSimulation& fleet, RestartDraw& draw) { restartTogether(fleet, draw.allNodes(), draw.between(300, 1000)); });
 }
 
+// Guards against starting nodes that ignore what the nodes that ran on know.
 BOOST_AUTO_TEST_CASE(limit_holds_when_most_nodes_restart_after_a_burst)
 {
     checkLimitAfterBurst([](FleetSimulation& fleet, RestartDraw& draw) { restartTogether(fleet, draw.mostNodes(), draw.between(300, 1000)); });
@@ -175,6 +176,7 @@
     BOOST_TEST(limits.levels(later).at(limited.name) > 0);
 }
 
+// Guards against a level of the complete fleet that the connected nodes use without the share of the silent ones.
 BOOST_AUTO_TEST_CASE(a_level_of_all_nodes_is_shared_with_the_silent_ones)
 {
     const SteadyTime start { std::chrono::hours(1) };
