Count and log retries by service

Nothing told by how many nodes a node divides the reserve of the retry budget, nor how many retries the budget allowed and refused, so the four hypotheses on the exceeded budget could not be told apart.

Adds the log event retry_budget (once a second for a service whose requests failed, at most 20 lines a second), the counter onyxnotch_entry_retries_total and the gauge onyxnotch_entry_retry_nodes. No decision changes.

--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -113,6 +113,8 @@
     detectSuspension();
     reportBlockedRequests();
     reportRefusedPeers(now);
+    if (ticks % retryReportTicks == 0)
+        reportRetries(now);
     forward.metrics.set("onyxnotch_entry_resting_endpoints", static_cast<double>(forward.endpoints.resting(now)));
     forward.metrics.set("onyxnotch_entry_held_bytes", static_cast<double>(forward.bodyMemory.held()));
     if (auto leftOut = forward.succeededRequestLines.takeSuppressedCount() + forward.failedRequestLines.takeSuppressedCount())
@@ -453,6 +455,21 @@
         logEvent(LogLevel::Warning, "peer_table_full", { { "nodes", peers.size() }, { "refused", refusedPeers } });
 }
 
+void EntryNode::RequestSide::reportRetries(SteadyTime now)
+{
+    forward.metrics.set("onyxnotch_entry_retry_nodes", forward.retries.nodes());
+    for (const auto& [service, use] : forward.retries.takeUses()) {
+        if (use.retries + use.refusedRetries == 0)
+            continue;
+        forward.metrics.increment("onyxnotch_entry_retries_total", { { "service", service }, { "result", "allowed" } }, use.retries);
+        forward.metrics.increment("onyxnotch_entry_retries_total", { { "service", service }, { "result", "refused" } }, use.refusedRetries);
+        if (!retryLines.take(now))
+            continue;
+        logEvent(LogLevel::Info, "retry_budget",
+            { { "service", service }, { "requests", use.requests }, { "retries", use.retries }, { "refused_retries", use.refusedRetries }, { "remaining", forward.retries.remaining(service) }, { "nodes", forward.retries.nodes() } });
+    }
+}
+
 SummaryOwner EntryNode::RequestSide::summaryOwner() const
 {
     return { .node = options.node, .zone = options.zone, .watchesStore = control.watchesStore, .relinquishedDuties = control.leftDutiesFence > 0 };
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -43,6 +43,8 @@
 
     // Endpoint speeds are sent once per this number of gossip periods: they change slowly.
     static constexpr std::uint32_t speedPeriodTicks = 2;
+    // Retries are counted and logged once per this number of gossip periods.
+    static constexpr std::uint32_t retryReportTicks = 4;
 
     static std::int64_t steadyMilliseconds() { return std::chrono::duration_cast<Milliseconds>(steadyNow().time_since_epoch()).count(); }
 
@@ -121,6 +123,8 @@
     void reportBlockedRequests();
     // Counts and logs rows and contacts of nodes for which the peer table has no room.
     void reportRefusedPeers(SteadyTime now);
+    // Counts and logs the retries of each service since the last call.
+    void reportRetries(SteadyTime now);
     // Blocks the requests that were stored as blocked when this node started.
     void restoreBlockedRequests(const std::vector<StoredBlockedRequest>&);
     SummaryOwner summaryOwner() const;
@@ -172,6 +176,7 @@
     WindowCounts summedUsage {}; // Of all nodes, by window and team. Only at the holder of the singleton duties.
     std::uint64_t refusedPeers { 0 }; // PeerTable::refused() as last reported.
     LogRateLimiter refusedPeerLines { 1 };
+    LogRateLimiter retryLines { 20 };
     unsigned listedNodes { 0 }; // Nodes that the store lists, this one included; 0 before the list was read.
     Address controlAddress {};
     // Both post to the control thread, which writes to the store.
