Keep the retry budget while nodes hear of nobody or restart

Cause, two faults of one class, a share of a common bound that is divided by the nodes heard at the moment: the reserve was divided by the rows received lately, 1 at a node that is cut off or has just started, and every start began with a complete share of it. Each start of all seven nodes brought 7 x 21.6 retries where 54 are allowed in 10 s.

Evidence: the log event retry_budget; nodes divide by 1 in the second after each start, and 128 to 145 retries follow it.

Change: FleetSize is the one place that says by how many nodes things are divided. Bounds use the largest number known since the start (the store's list, names in messages), estimates the nodes heard of in the last 30 s (connections, returning clients, pace of the queue, which divided by the rows of the last 1.5 s). A part of less than one retry, as in a fleet of 985, is a chance, in place of one retry a node.

Tried first: no retry at all after a start.

--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -45,7 +45,8 @@
             "description": "Further tries that all nodes together may make for a service.",
             "properties": {
                 "perRequest": { "type": "number", "minimum": 0, "default": 0.2, "description": "As a part of its requests." },
-                "reserve": { "type": "number", "minimum": 0, "default": 10, "description": "Beyond that, in each window." }
+                "reserve": { "type": "number", "minimum": 0, "default": 10, "description": "Beyond that, in each window." },
+                "windowSeconds": { "type": "number", "minimum": 1, "default": 10, "description": "Length of a window. The retries are limited in every span of this length." }
             }
         },
         "teamLimits": {
@@ -165,7 +166,7 @@
         entry.forward.maximumBufferedBodyBytes = static_cast<std::size_t>(document["limits"]["memoryMegabytes"].get<double>() * bytesInMegabyte * bodyMemoryShare);
         entry.forward.startupWait = milliseconds(document["startWaitMs"]);
         entry.forward.usageWindowMilliseconds = static_cast<unsigned>(millisecondsFromSeconds(document["usageWindowSeconds"]).count());
-        entry.retries = { .perRequest = document["retries"]["perRequest"], .reserve = document["retries"]["reserve"] };
+        entry.retries = { .perRequest = document["retries"]["perRequest"], .reserve = document["retries"]["reserve"], .window = millisecondsFromSeconds(document["retries"]["windowSeconds"]) };
         const auto& teamLimits = document["teamLimits"];
         entry.teamLimitTolerance = { .overshoot = teamLimits["overshoot"], .slackTokens = teamLimits["slackTokens"], .window = millisecondsFromSeconds(teamLimits["windowSeconds"]) };
         const auto& queueing = document["queueing"];
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -108,7 +108,6 @@
         forward.applyEndpointList(view.endpoints(), *configuration, now);
     forward.endpoints.setReadsStore(control.watchesStore);
     peers.purgeExpired(now);
-    updateExpectedNodes();
     forward.demand.tick(seconds);
     detectSuspension();
     reportBlockedRequests();
@@ -166,7 +165,8 @@
 {
     adaptDirectTimeouts();
     auto alive = peers.alive(now);
-    setNodes(static_cast<unsigned>(alive.size()) + 1);
+    fleetSize.onHeard(static_cast<unsigned>(peers.size()) + 1);
+    applyFleetSize();
     forward.clockDifference = peers.clockDifference(ownClockDifference, now);
     forward.endpoints.setPeerLoads(sumLoads(alive), now);
     exchange.send(ownRow());
@@ -181,12 +181,6 @@
     return speaking / (speaking + peers.silent(removedAfter, now));
 }
 
-void EntryNode::RequestSide::setNodes(unsigned nodes)
-{
-    forward.nodes = nodes;
-    forward.retries.setNodes(nodes);
-}
-
 void EntryNode::RequestSide::exchangeThroughRelays(SteadyTime now)
 {
     adaptRelayTimeouts();
@@ -201,7 +195,8 @@
     auto received = relay.others(now).value_or(FleetRelay::Others {});
     const auto& others = received.sum;
     if (others.nodes > 0) {
-        setNodes(others.nodes + 1);
+        fleetSize.onHeard(others.nodes + 1);
+        applyFleetSize();
         forward.teams.onFleetTotals(others.nodes, others.silentNodes, others.teamTotals, received.receivedAt);
         forward.endpoints.setPeerLoads(loadsByIncarnation(others.loads), now);
     }
@@ -247,21 +242,24 @@
 {
     listedNodes = static_cast<unsigned>(others.size()) + 1;
     peers.setListedNodes(listedNodes);
+    fleetSize.onListed(listedNodes);
     logEvent(LogLevel::Info, "nodes_expected", { { "nodes", listedNodes } });
     for (const auto& it : others)
         exchange.addContact(it);
-    updateExpectedNodes();
+    applyFleetSize();
     if (usesRelays())
         exchangeThroughRelays(steadyNow());
     else
         exchange.sendToAllKnown(ownRow());
 }
 
-void EntryNode::RequestSide::updateExpectedNodes()
+void EntryNode::RequestSide::applyFleetSize()
 {
-    auto namedNodes = static_cast<unsigned>(peers.size()) + 1;
-    if (listedNodes > 0 || namedNodes > forward.teams.expectedNodes())
-        forward.teams.setExpectedNodes(std::max(listedNodes, namedNodes));
+    forward.nodes = fleetSize.current();
+    if (!fleetSize.isKnown())
+        return;
+    forward.retries.setNodes(fleetSize.largest());
+    forward.teams.setExpectedNodes(fleetSize.largest());
 }
 
 void EntryNode::RequestSide::adaptDirectTimeouts()
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -8,6 +8,7 @@
 #include "modules/control/blocked_requests.h"
 #include "modules/entry/entry_limits.h"
 #include "modules/entry/entry_node.h"
+#include "modules/peers/fleet_size.h"
 #include "modules/peers/sum_exchange.h"
 
 namespace Onyxnotch {
@@ -72,8 +73,6 @@
     void exchangeDirectly(SteadyTime now);
     // Number of nodes that currently send messages, divided by the number of nodes seen in the last 20 s (0 to 1), this node included.
     double aliveShare(const std::vector<const PeerRow*>& alive, SteadyTime now) const;
-    void setNodes(unsigned nodes);
-
     // One gossip period with relay nodes, which aggregate the rows. A relay node builds and sends its aggregates in the same call, from
     // what it has received until then.
     void exchangeThroughRelays(SteadyTime now);
@@ -85,12 +84,11 @@
     std::map<EndpointIncarnation, EndpointLoadReport> loadsByIncarnation(const std::map<ShortName, AggregatedLoad>& loads) const;
 
     // Receives the other nodes that the store lists. Entries of nodes that were removed for good stay in the store, so more nodes may be
-    // expected than exist. This only prolongs the time after a start in which this node uses a reduced share of the team limits.
+    // expected than exist.
     void addListedNodes(const std::vector<PeerContact>& others);
 
-    // Sets how many nodes share the team limits: the listed nodes, or, while the store is unreachable, those named in peers' messages. If
-    // neither is known, the default of the team limits stays.
-    void updateExpectedNodes();
+    // Sets by how many nodes this one divides what all share. While the number is unknown, the defaults of the parts stay.
+    void applyFleetSize();
 
     // Sets the times after which peer data is stale, without relay nodes, from how often a node receives the rows of another one.
     void adaptDirectTimeouts();
@@ -177,6 +175,7 @@
     std::uint64_t refusedPeers { 0 }; // PeerTable::refused() as last reported.
     LogRateLimiter refusedPeerLines { 1 };
     LogRateLimiter retryLines { 20 };
+    FleetSize fleetSize {};
     unsigned listedNodes { 0 }; // Nodes that the store lists, this one included; 0 before the list was read.
     Address controlAddress {};
     // Both post to the control thread, which writes to the store.
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -115,7 +115,7 @@
     auto endpoints = m_context.view.endpoints();
     m_endpointsRevision = endpoints ? endpoints->revision : 0;
     m_context.applyEndpointList(endpoints, *m_configuration, steadyNow());
-    m_context.retries.onRequest(m_service->name);
+    m_context.retries.onRequest(m_service->name, steadyNow());
     m_context.demand.onBegin(m_service->name);
     m_client->watch([this] {
         m_isClientDisconnected = true;
@@ -302,7 +302,7 @@
             recordServed();
             co_return ExchangeResult::Answered;
         }
-        auto acquireRetry = [this] { return m_context.suspects.isRetryAllowed(digest(), steadyNow()) && m_context.retries.take(m_service->name); };
+        auto acquireRetry = [this] { return m_context.suspects.isRetryAllowed(digest(), steadyNow()) && m_context.retries.take(m_service->name, steadyNow()); };
         if (!m_attemptTracker.mayRetry(acquireRetry))
             co_return co_await finishUndelivered(outcome);
     }
--- a/tests/modules/limits/retry_simulation.h
+++ b/tests/modules/limits/retry_simulation.h
@@ -1,9 +1,10 @@
 // Simulates the retry budgets of a fleet in simulated time: requests of one service arrive at all nodes, and fail again at each retry while
-// the service's endpoints fail. The nodes run SharedRetryBudget; which other nodes each one hears is set by the test.
+// the service's endpoints fail. The nodes run SharedRetryBudget and FleetSize; how many other nodes each one hears is set by the test.
 #pragma once
 
 #include "core/clock.h"
 #include "modules/limits/retry_budget.h"
+#include "modules/peers/fleet_size.h"
 #include <algorithm>
 #include <random>
 #include <vector>
@@ -39,10 +40,12 @@
         }
     }
 
-    // Replaces the node's process: it knows of no other node, except for those that the store lists if it can be read.
+    // Replaces the node's process: it knows of no other node.
     void restart(std::size_t n)
     {
-        m_nodes[n] = SharedRetryBudget(m_options.budget);
+        auto options = m_options.budget;
+        options.randomSeed = static_cast<std::uint32_t>(m_random());
+        m_nodes[n] = { .budget = SharedRetryBudget(options) };
         hear(n, 0);
     }
     void restartAll()
@@ -51,7 +54,13 @@
             restart(n);
     }
     // From now on the node hears this number of other nodes.
-    void hear(std::size_t n, unsigned others) { m_nodes[n].setNodes(others + 1); }
+    void hear(std::size_t n, unsigned others)
+    {
+        auto& node = m_nodes[n];
+        node.size.onHeard(others + 1);
+        if (node.size.isKnown())
+            node.budget.setNodes(node.size.largest());
+    }
     void hearAll(unsigned others)
     {
         for (std::size_t n = 0; n < m_nodes.size(); ++n)
@@ -76,6 +85,11 @@
     }
 
 private:
+    struct Node {
+        SharedRetryBudget budget {};
+        FleetSize size {};
+    };
+
     static double countBetween(const std::vector<SteadyTime>& times, SteadyTime from, SteadyTime to)
     {
         return static_cast<double>(std::lower_bound(times.begin(), times.end(), to) - std::lower_bound(times.begin(), times.end(), from));
@@ -86,9 +100,10 @@
     void arrive(std::size_t n)
     {
         m_requests.push_back(m_now);
-        m_nodes[n].onRequest("s");
+        auto& budget = m_nodes[n].budget;
+        budget.onRequest("s", m_now);
         for (unsigned tries = 0; tries < m_options.retriesPerRequest && fails(); ++tries) {
-            if (!m_nodes[n].take("s")) {
+            if (!budget.take("s", m_now)) {
                 ++refused;
                 return;
             }
@@ -98,7 +113,7 @@
 
     RetrySimulationOptions m_options;
     std::mt19937_64 m_random;
-    std::vector<SharedRetryBudget> m_nodes;
+    std::vector<Node> m_nodes;
     SteadyTime m_now { std::chrono::hours(1) };
     std::vector<SteadyTime> m_requests {};
     std::vector<SteadyTime> m_retries {};
--- a/tests/modules/limits/test_team_limits.cpp
+++ b/tests/modules/limits/test_team_limits.cpp
@@ -192,13 +192,14 @@
     constexpr int nodes = 9;
     SharedRetryBudgetOptions options { .perRequest = 0.2, .reserve = 58 };
     std::vector<SharedRetryBudget> budgets(nodes, SharedRetryBudget(options));
+    auto now = steadyNow();
     double retries = 0;
     constexpr int requestsPerNode = 50;
     for (auto& it : budgets) {
         it.setNodes(nodes);
         for (int n = 0; n < requestsPerNode; ++n) {
-            it.onRequest("s");
-            while (it.take("s"))
+            it.onRequest("s", now);
+            while (it.take("s", now))
                 ++retries;
         }
     }
--- a/tests/platform/test_settings_template.cpp
+++ b/tests/platform/test_settings_template.cpp
@@ -112,7 +112,7 @@
     auto fields = minimalFields();
     fields["seedNodes"] = { "10.0.0.1:82", "10.0.0.2:82" };
     fields["limits"]["memoryMb"] = 160;
-    fields["bounds"] = { { "retrySlack", 58 }, { "retryBudgetRatio", 0.25 }, { "graceS", 8 }, { "leaseMs", 3000 }, { "reportWindowS", 5 } };
+    fields["bounds"] = { { "retrySlack", 58 }, { "retryWindowS", 8 }, { "retryBudgetRatio", 0.25 }, { "graceS", 8 }, { "leaseMs", 3000 }, { "reportWindowS", 5 } };
     fields["cloudApi"] = { { "address", "10.0.1.2:91" }, { "duties", { "metering", "autoscale" } } };
     auto settings = settingsFor(fields);
     BOOST_REQUIRE_MESSAGE(settings, messageOf(settings));
@@ -121,6 +121,7 @@
     BOOST_TEST(entry.seeds.size() == 1U);
     BOOST_TEST(entry.retries.reserve == 58);
     BOOST_TEST(entry.retries.perRequest == 0.25);
+    BOOST_TEST(entry.retries.window == Milliseconds(8000));
     BOOST_TEST(entry.grace.count() == 8000);
     BOOST_TEST(entry.forward.usageWindowMilliseconds == 5000U);
     BOOST_TEST(entry.forward.maximumBufferedBodyBytes == std::size_t { 40 } << 20U);
