--- a/tests/entry/test_retry_budget.cpp
+++ b/tests/entry/test_retry_budget.cpp
@@ -1,6 +1,7 @@
-// Tests the retry budget of an entry node that other nodes share, with a real process.
+// Tests what an entry node takes of what all nodes share, the retry budget and the connections of an endpoint, with a real process.
 #include "tests/harness/entry_site.h"
 #include <boost/test/unit_test.hpp>
+#include <memory>
 
 using namespace Onyxnotch;
 using namespace Onyxnotch::Tests;
@@ -8,7 +9,8 @@
 namespace {
 
 constexpr int listedNodes = 7;
-constexpr int endpointCount = 12;
+constexpr int slots = 200;
+constexpr int maximumConnections = 100; // That an endpoint takes, as declared.
 constexpr double retriesPerRequest = 0.2;
 constexpr double reserve = 58;
 
@@ -17,13 +19,18 @@
     return { .bytes = "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: " + std::string(it.head.value("attempt-id")) + "\r\nServer-Stamp: stamp-1\r\nContent-Length: 0\r\n\r\n" };
 }
 
-// A node whose store lists others that never answer, and endpoints that fail every request.
+// A node whose store lists others that never answer, as many endpoints that all follow `script`.
 struct CutOffNodeSite {
-    CutOffNodeSite()
+    explicit CutOffNodeSite(int endpointCount, const Fakes::ScriptedEndpoint::Script& script)
     {
         site.declare(EntrySite::declaration(1));
-        for (int n = 0; n < endpointCount; ++n)
-            endpoints.push_back(&site.addEndpoint("i-" + std::to_string(n), failure));
+        for (int n = 0; n < endpointCount; ++n) {
+            auto id = "i-" + std::to_string(n);
+            endpoints.push_back(&site.addEndpoint(id, script));
+            auto entry = EntrySite::entryOf(endpoints.back()->address(), "ready");
+            entry["slots"] = slots;
+            site.platform().put("servers", id, entry);
+        }
         constexpr int discardPort = 9;
         for (int n = 1; n < listedNodes; ++n)
             site.platform().put("onyxnotch-nodes", "node-" + std::to_string(n + 1), { { "gossip", ownLoopback() + ":" + std::to_string(discardPort) }, { "lifetime", 1 }, { "zone", "z" }, { "processorPercent", 100 } });
@@ -53,7 +60,8 @@
 BOOST_AUTO_TEST_CASE(a_node_that_hears_of_nobody_takes_its_share_of_the_reserve)
 {
     constexpr int requests = 60;
-    CutOffNodeSite one;
+    constexpr int endpoints = 12;
+    CutOffNodeSite one(endpoints, failure);
     for (int n = 0; n < requests; ++n)
         EntrySite::ask(one.node->callers, request("GET", "/safe/a", "id-" + std::to_string(n)));
     auto retries = static_cast<double>(one.arrivals()) - requests;
@@ -61,4 +69,19 @@
     BOOST_TEST(listedNodes * retries <= retriesPerRequest * listedNodes * requests + reserve);
 }
 
+BOOST_AUTO_TEST_CASE(a_node_that_hears_of_nobody_opens_its_share_of_the_connections)
+{
+    constexpr int clients = 60;
+    CutOffNodeSite one(1, [](const auto&) { return Fakes::ScriptedResponse { .ending = Fakes::ScriptedResponse::Ending::Hang }; });
+    std::vector<std::unique_ptr<RawClient>> callers;
+    for (int n = 0; n < clients; ++n) {
+        callers.push_back(std::make_unique<RawClient>(one.node->callers));
+        callers.back()->send(request("GET", "/safe/a", "id-" + std::to_string(n)));
+    }
+    for (auto& it : callers)
+        it->read();
+    BOOST_TEST(one.arrivals() > 0U);
+    BOOST_TEST(listedNodes * one.arrivals() <= maximumConnections);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
