Count the nodes that others name also behind relay nodes

Read, not seen: a node behind relay nodes that starts while the store is away knows others by name before it hears of any, and since the last change did not count them; and team limits would have kept the largest number ever known, also after machines were replaced under new names.

FleetSize tells three numbers apart: those known at the moment (estimates), those expected (team limits, as before: listed, named or heard), and the most ever known (retry budget).

--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -165,7 +165,8 @@
 {
     adaptDirectTimeouts();
     auto alive = peers.alive(now);
-    fleetSize.onHeard(static_cast<unsigned>(peers.size()) + 1);
+    fleetSize.onNamed(static_cast<unsigned>(peers.size()) + 1);
+    fleetSize.onHeard(static_cast<unsigned>(alive.size()) + 1);
     applyFleetSize();
     forward.clockDifference = peers.clockDifference(ownClockDifference, now);
     forward.endpoints.setPeerLoads(sumLoads(alive), now);
@@ -194,9 +195,11 @@
     }
     auto received = relay.others(now).value_or(FleetRelay::Others {});
     const auto& others = received.sum;
-    if (others.nodes > 0) {
+    fleetSize.onNamed(static_cast<unsigned>(peers.size()) + 1);
+    if (others.nodes > 0)
         fleetSize.onHeard(others.nodes + 1);
-        applyFleetSize();
+    applyFleetSize();
+    if (others.nodes > 0) {
         forward.teams.onFleetTotals(others.nodes, others.silentNodes, others.teamTotals, received.receivedAt);
         forward.endpoints.setPeerLoads(loadsByIncarnation(others.loads), now);
     }
@@ -259,7 +262,7 @@
     if (!fleetSize.isKnown())
         return;
     forward.retries.setNodes(fleetSize.largest());
-    forward.teams.setExpectedNodes(fleetSize.largest());
+    forward.teams.setExpectedNodes(fleetSize.expected());
 }
 
 void EntryNode::RequestSide::adaptDirectTimeouts()
