--- a/tests/modules/limits/retry_simulation.h
+++ b/tests/modules/limits/retry_simulation.h
@@ -75,8 +75,7 @@
     double highestUse(Milliseconds window) const
     {
         double highest = 0;
-        for (std::size_t first = 0; first < m_retries.size(); ++first) {
-            auto start = m_retries[first];
+        for (auto start : m_retries) {
             auto retriesInWindow = countBetween(m_retries, start, start + window);
             auto requests = std::max({ countBetween(m_requests, start, start + window), countBetween(m_requests, start - window, start), countBetween(m_requests, start - window / 2, start + window / 2) });
             highest = std::max(highest, retriesInWindow / (m_options.budget.perRequest * requests + m_options.budget.reserve));
