Trace the roll-out test that failed once to the retry budget

Callers saw a failure of a bad version that was not retried at the good one.

Cause: a node could save three retries whatever its traffic (two nodes, a reserve of 10), so a fourth failure close to three others was refused, though 100 requests a second earn 16 retries. Ruled out: that roll-outs step once a second.

--- a/tests/modules/limits/test_retry_budget.cpp
+++ b/tests/modules/limits/test_retry_budget.cpp
@@ -115,4 +115,22 @@
     }
 }
 
+// A roll-out sends a tenth of the requests to a version that fails, several of them in a row by chance.
+BOOST_AUTO_TEST_CASE(a_few_failures_in_a_row_are_retried_at_a_busy_node)
+{
+    constexpr int requestsPerSecond = 100;
+    constexpr int failuresInARow = 6;
+    SharedRetryBudget budget({ .perRequest = 0.2, .reserve = 10 });
+    budget.setNodes(2);
+    auto now = steadyNow();
+    for (int n = 0; n < 2 * requestsPerSecond; ++n) {
+        budget.onRequest("s", now);
+        now += SteadyTime::duration(seconds(1)) / requestsPerSecond;
+    }
+    for (int n = 0; n < failuresInARow; ++n) {
+        budget.onRequest("s", now);
+        BOOST_TEST(budget.take("s", now));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
