--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -73,6 +73,7 @@
     void exchangeDirectly(SteadyTime now);
     // Number of nodes that currently send messages, divided by the number of nodes seen in the last 20 s (0 to 1), this node included.
     double aliveShare(const std::vector<const PeerRow*>& alive, SteadyTime now) const;
+
     // One gossip period with relay nodes, which aggregate the rows. A relay node builds and sends its aggregates in the same call, from
     // what it has received until then.
     void exchangeThroughRelays(SteadyTime now);
