--- a/misc/play_regressions.sh
+++ b/misc/play_regressions.sh
@@ -9,7 +9,7 @@
 failed=0
 while read -r site day rule cause; do
     case "$site" in "" | "#"*) continue ;; esac
-    row=$("$bench" run "$kit/$site" "$day" --why "regression: $rule" </dev/null | grep "^$day ")
+    row=$("$bench" run "$kit/$site" "$day" --why "regression: $rule" </dev/null | grep "^$(basename "$day" .toml) ")
     echo "$row"
     case "$row" in *BROKEN*) failed=1 && echo "broken again: $rule ($cause)" ;; esac
 done <misc/bench_regressions.txt
