--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -124,6 +124,12 @@
         return true;
     }
 
+    bool isFaulty()
+    {
+        std::lock_guard lock(m_mutex);
+        return m_isFaulty;
+    }
+
     void serve(Connection& connection)
     {
         std::string lateCopy;
@@ -132,12 +138,12 @@
             if (!request.isWhole)
                 return;
             auto id = request.field("attempt-id");
-            if (!lateCopy.empty()) {
+            if (!lateCopy.empty() && isFaulty()) {
                 m_record.line(m_name + " sends a late copy of its last answer on this channel, which was a refusal; the next request on it is " + id);
                 if (!connection.write(lateCopy))
                     return;
-                lateCopy.clear();
             }
+            lateCopy.clear();
             if (!begin(id)) {
                 auto refusal = encodeMessage("HTTP/1.1 503 Service Unavailable", { { "Attempt-Id", id }, { "Not-Executed", "1" } });
                 if (!connection.write(refusal))
