--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -87,10 +87,10 @@
         m_copies = 0;
     }
 
-    unsigned allCopies()
+    unsigned sentCopies()
     {
         std::lock_guard lock(m_mutex);
-        return m_allCopies;
+        return m_sentCopies;
     }
 
 private:
@@ -120,10 +120,15 @@
         if (!m_isFaulty || m_copies + 1 > maximumCopies * m_answers)
             return false;
         ++m_copies;
-        ++m_allCopies;
         return true;
     }
 
+    void countSentCopy()
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_sentCopies;
+    }
+
     bool isFaulty()
     {
         std::lock_guard lock(m_mutex);
@@ -139,6 +144,7 @@
                 return;
             auto id = request.field("attempt-id");
             if (!lateCopy.empty() && isFaulty()) {
+                countSentCopy();
                 m_record.line(m_name + " sends a late copy of its last answer on this channel, which was a refusal; the next request on it is " + id);
                 if (!connection.write(lateCopy))
                     return;
@@ -169,7 +175,7 @@
     unsigned m_running { 0 };
     unsigned m_answers { 0 };
     unsigned m_copies { 0 };
-    unsigned m_allCopies { 0 };
+    unsigned m_sentCopies { 0 };
     Server m_server;
 };
 
@@ -258,7 +264,7 @@
         twice += runs.of(id) > 1 ? 1 : 0;
         refusedAndRun += (status == 503 || status == 429) && runs.of(id) > 0 ? 1 : 0;
     }
-    auto summary = std::to_string(clients.statuses().size()) + " requests, " + std::to_string(first.allCopies() + second.allCopies()) + " late copies; requests that ran more than once: " + std::to_string(twice)
+    auto summary = std::to_string(clients.statuses().size()) + " requests, " + std::to_string(first.sentCopies() + second.sentCopies()) + " late copies sent; requests that ran more than once: " + std::to_string(twice)
         + ", that were answered with 429 or 503 and ran: " + std::to_string(refusedAndRun);
     return finish(record, twice + refusedAndRun > 0 ? Verdict::Broken : Verdict::Held, summary);
 }
