Keep a request off connections on which it was sent before

Cause: responses are matched to sends by the request's id. A request that was refused by full endpoints waits and may go to the same endpoint again, on the same connection, since the connection used last is reused first. A late copy of the refusal then stands where the response to the second send is due and has its id. The node took it for "not executed" and sent the request a third time.

Ruled out: an endpoint that runs what it refused (nothing ran twice without copies), and copies without an id.

Change: each request remembers the connections on which it was sent, and EndpointCall does not reuse them for it. At the limit of connections an idle one that cannot be used gives way. Why it works: a copy arrives on the connection of its original, so it can only meet requests with other ids. New metric: responses that were skipped.

--- a/modules/forward/endpoint_call.cpp
+++ b/modules/forward/endpoint_call.cpp
@@ -25,12 +25,11 @@
 
 } // namespace
 
-EndpointCall::EndpointCall(ForwardContext& context, std::shared_ptr<EndpointState> endpoint, unsigned maximumConnections, SteadyTime deadline, HeadCallback onHead)
+EndpointCall::EndpointCall(ForwardContext& context, std::shared_ptr<EndpointState> endpoint, SentConnections& sent, EndpointCallOptions options)
     : m_context(context)
     , m_endpoint(std::move(endpoint))
-    , m_maximumConnections(maximumConnections)
-    , m_deadline(deadline)
-    , m_onHead(std::move(onHead))
+    , m_sent(sent)
+    , m_options(std::move(options))
     , m_parser(HttpMessageKind::Response, maximumAnswerHeadBytes)
 {
 }
@@ -69,19 +68,31 @@
     m_endpoint->idle.push_back({ .connection = m_connection, .usableUntil = steadyNow() + time });
 }
 
+void EndpointCall::closeIdleConnection(std::size_t index)
+{
+    auto entry = m_endpoint->idle.begin() + static_cast<std::ptrdiff_t>(index);
+    entry->connection->close();
+    m_endpoint->idle.erase(entry);
+    --m_endpoint->connections;
+}
+
+// Takes the idle connection that was used last, among those on which the request was not sent yet.
 bool EndpointCall::reuseIdleConnection()
 {
     auto now = steadyNow();
     auto& idle = m_endpoint->idle;
-    while (!idle.empty()) {
-        auto entry = idle.back();
-        idle.pop_back();
-        if (now < entry.usableUntil && entry.connection->isReusable()) {
-            m_connection = entry.connection;
-            return true;
+    for (auto n = idle.size(); n > 0; --n) {
+        auto index = n - 1;
+        auto connection = idle[index].connection;
+        if (now >= idle[index].usableUntil || !connection->isReusable()) {
+            closeIdleConnection(index);
+            continue;
         }
-        entry.connection->close();
-        --m_endpoint->connections;
+        if (m_sent.contains(connection))
+            continue;
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index));
+        m_connection = std::move(connection);
+        return true;
     }
     return false;
 }
@@ -92,17 +103,21 @@
         co_return CallStatus::NotConnected;
     if (reuseIdleConnection())
         co_return CallStatus::Success;
-    m_isConnectionLimitReached = m_endpoint->connections >= m_maximumConnections;
+    // Connections that are still idle cannot be used for this request, so one of them gives way to a new connection.
+    if (m_endpoint->connections >= m_options.maximumConnections && !m_endpoint->idle.empty())
+        closeIdleConnection(0);
+    m_isConnectionLimitReached = m_endpoint->connections >= m_options.maximumConnections;
     if (m_isConnectionLimitReached)
         co_return CallStatus::NotConnected;
     ++m_endpoint->connections;
     m_connection = std::make_shared<AsyncConnection>(m_context.context);
-    auto ec = co_await m_connection->connect(m_endpoint->listed.address, std::min(m_deadline, steadyNow() + timeout));
+    auto ec = co_await m_connection->connect(m_endpoint->listed.address, std::min(m_options.deadline, steadyNow() + timeout));
     co_return ec || m_isConnectionClosed ? CallStatus::NotConnected : CallStatus::Success;
 }
 
 asio::awaitable<CallStatus> EndpointCall::send(const std::string& head, const std::string& body)
 {
+    m_sent.add(m_connection);
     // Head and body are written together: the head alone would be sent as a packet of its own.
     auto bytes = head + body;
     std::string_view remaining(bytes);
@@ -117,9 +132,9 @@
         if (size > 0 || remaining.empty())
             continue;
         // The send buffer is full: the endpoint may be responding instead of reading.
-        if (steadyNow() >= m_deadline)
+        if (steadyNow() >= m_options.deadline)
             co_return CallStatus::TimedOut;
-        ec = co_await m_connection->waitWritableOrReadable(m_deadline);
+        ec = co_await m_connection->waitWritableOrReadable(m_options.deadline);
         m_isConnectionLost = ec && ec != asio::error::timed_out && !m_isCancelled;
         if (ec)
             co_return ec == asio::error::timed_out ? CallStatus::TimedOut : CallStatus::Failed;
@@ -137,7 +152,7 @@
         co_return CallStatus::Failed;
     if (state == HttpParserState::Complete)
         co_return CallStatus::Success;
-    auto ec = co_await m_connection->read(m_deadline);
+    auto ec = co_await m_connection->read(m_options.deadline);
     state = m_parser.feed(m_connection->input());
     if (ec == asio::error::eof) {
         m_isConnectionClosed = true;
@@ -170,10 +185,12 @@
             if (status != CallStatus::Success)
                 co_return status;
         }
-        m_onHead(head());
+        m_options.onHead(head());
         bool isInterim = head().status / 100 == 1;
         if (!isInterim && isResponseTo(requestId))
             co_return CallStatus::Success;
+        if (!isInterim)
+            m_context.metrics.increment("onyxnotch_entry_unmatched_responses_total", {});
         // An interim response, or one to an earlier request: skips its body and reads the next response.
         while (!isComplete()) {
             auto status = co_await receive();
--- a/modules/forward/endpoint_call.h
+++ b/modules/forward/endpoint_call.h
@@ -4,6 +4,7 @@
 
 #include "core/net/http_parser.h"
 #include "modules/forward/forward_context.h"
+#include "modules/forward/sent_connections.h"
 
 namespace Onyxnotch {
 
@@ -15,19 +16,24 @@
     TimedOut, // The deadline passed; the endpoint may have executed the request.
 };
 
-class EndpointCall {
-public:
+struct EndpointCallOptions {
+    unsigned maximumConnections { 1 }; // Open connections that this node may have to the endpoint.
+    SteadyTime deadline {};
     // Called with each response head as soon as it has been read, including interim responses and responses to other requests: any of them
     // may carry notices about the endpoint.
-    using HeadCallback = std::function<void(const HttpHead&)>;
+    std::function<void(const HttpHead&)> onHead {};
+};
 
-    EndpointCall(ForwardContext&, std::shared_ptr<EndpointState>, unsigned maximumConnections, SteadyTime deadline, HeadCallback onHead);
+class EndpointCall {
+public:
+    // `sent` holds the connections on which earlier attempts sent the same request: they are not reused. This call adds its own.
+    EndpointCall(ForwardContext&, std::shared_ptr<EndpointState>, SentConnections& sent, EndpointCallOptions);
     // Keeps the connection for reuse if the response was complete and no bytes followed it; otherwise closes it.
     ~EndpointCall();
     EndpointCall(const EndpointCall&) = delete;
     EndpointCall& operator=(const EndpointCall&) = delete;
 
-    // Reuses an idle connection or opens a new one. Returns NotConnected on failure, or at the connection limit.
+    // Reuses an idle connection or opens a new one. Returns NotConnected on failure, or at the connection limit if no connection is idle.
     asio::awaitable<CallStatus> connect(Milliseconds timeout);
     // Returns Success early, with the request partly sent, if the endpoint begins to respond before it has read the request.
     asio::awaitable<CallStatus> send(const std::string& head, const std::string& body);
@@ -52,14 +58,14 @@
     asio::awaitable<CallStatus> receive();
     bool isResponseTo(const std::string& requestId) const;
     bool reuseIdleConnection();
+    void closeIdleConnection(std::size_t index);
     void closeConnection();
     void releaseConnection();
 
     ForwardContext& m_context;
     std::shared_ptr<EndpointState> m_endpoint;
-    unsigned m_maximumConnections;
-    SteadyTime m_deadline;
-    HeadCallback m_onHead;
+    SentConnections& m_sent;
+    EndpointCallOptions m_options;
     std::shared_ptr<AsyncConnection> m_connection {};
     HttpParser m_parser;
     bool m_isConnectionLimitReached { false };
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -313,8 +313,12 @@
     // All nodes share the connections that an endpoint accepts; one is reserved for health checks.
     auto connections = std::max(1U, (m_service->maximumConnections - 1) / std::max(1U, m_context.nodes));
     EndpointBook::Flight flight(chosen.endpoint, chosen.uncachedTokens);
-    auto onHead = [&](const HttpHead& head) { handleHead(chosen.endpoint->listed, head); };
-    EndpointCall call(m_context, chosen.endpoint, connections, m_deadline, onHead);
+    EndpointCallOptions options {
+        .maximumConnections = connections,
+        .deadline = m_deadline,
+        .onHead = [&](const HttpHead& head) { handleHead(chosen.endpoint->listed, head); },
+    };
+    EndpointCall call(m_context, chosen.endpoint, m_sentConnections, std::move(options));
     m_triedEndpoints.push_back(chosen.endpoint->listed.id);
     recordVersionSent(chosen.endpoint->listed);
     recordChoice(chosen);
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -195,6 +195,7 @@
     AttemptTracker m_attemptTracker {};
     std::optional<RequestDigest> m_digest {}; // Computed by the first call of digest().
     std::vector<std::string> m_triedEndpoints {}; // Ids of the endpoints of all attempts.
+    SentConnections m_sentConnections {}; // Of all attempts.
     std::size_t m_creditDenials { 0 }; // Endpoints that would have been chosen for this attempt but granted no credit.
     std::string m_lastEndpoint {};
     std::string_view m_choiceReason {};
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -32,6 +32,7 @@
     HttpHead head {};
     std::string body {};
     bool isWhole { true }; // False if only the head has arrived and the script is called just for `beforeBody`.
+    unsigned connection { 0 }; // Number of the connection, in the order of acceptance.
     SteadyTime arrivedAt {}; // When the complete request had arrived.
 };
 
@@ -107,14 +108,16 @@
             if (ec || m_stopped)
                 return;
             m_sockets.push_back(socket);
-            m_workers.emplace_back([this, socket] { serve(*socket); });
+            auto number = static_cast<unsigned>(m_sockets.size());
+            m_workers.emplace_back([this, socket, number] { serve(*socket, number); });
         }
     }
 
-    void serve(Socket& socket)
+    void serve(Socket& socket, unsigned number)
     {
         std::string input;
         while (auto request = read(socket, input)) {
+            request->connection = number;
             ScriptedResponse answer;
             {
                 std::lock_guard lock(m_mutex);
