Write events that arrive with a break before the stream is resumed

Cause: EventStream::take() moves whole events out of the input and counts them; relayStream() checked for a break before it wrote them, and returned. The next endpoint was asked for what follows the counted events. An event whose id is out of order had the same effect on those before it in the read.

Ruled out: the second endpoint (it begins behind the id that it is given) and the write to the client (nothing is written).

Change: write what was taken, then handle the break. Why it works: what is counted is what was written. A stream that cannot be resumed is now cut after the events that arrived; before, it got none of them and a 502.

--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -74,6 +74,8 @@
     asio::awaitable<AttemptOutcome> callEndpoint(EndpointCall&, const ChosenEndpoint&);
     // Passes events on as they arrive. Once a part is passed on, the stream can only be resumed, not repeated.
     asio::awaitable<AttemptOutcome> relayStream(EndpointCall&, const ChosenEndpoint&);
+    // Outcome of an attempt whose event stream failed.
+    AttemptOutcome streamFailure() const;
     // Reads the complete response before passing it on, so that a failed one can still be retried.
     asio::awaitable<AttemptOutcome> relayBuffered(EndpointCall&, const ChosenEndpoint&);
     void recordChoice(const ChosenEndpoint&);
--- a/modules/forward/exchange_relay.cpp
+++ b/modules/forward/exchange_relay.cpp
@@ -56,6 +56,8 @@
     co_return written ? AttemptOutcome::Delivered : AttemptOutcome::CallerLeft;
 }
 
+AttemptOutcome Exchange::streamFailure() const { return m_streamStarted ? AttemptOutcome::StreamBroken : AttemptOutcome::MayHaveRun; }
+
 asio::awaitable<AttemptOutcome> Exchange::relayStream(EndpointCall& call, const ChosenEndpoint& chosen)
 {
     std::string pending;
@@ -70,9 +72,9 @@
         call.body().clear();
         ready.clear();
         auto check = m_events.take(pending, ready);
-        bool last = call.isComplete();
-        if (check != EventStreamCheck::Sound || (last && !pending.empty()))
-            co_return m_streamStarted ? AttemptOutcome::StreamBroken : AttemptOutcome::MayHaveRun;
+        bool isBroken = check != EventStreamCheck::Sound || (call.isComplete() && !pending.empty());
+        bool last = call.isComplete() && !isBroken;
+        // Events before a break are passed on too: the stream is resumed after the last one that was taken.
         std::string bytes;
         if (!ready.empty() || last) {
             if (first)
@@ -92,12 +94,13 @@
         isWriteSlow = steadyNow() - receivedAt > slowWrite;
         if (last)
             break;
+        if (isBroken)
+            co_return streamFailure();
         auto status = co_await call.readBody();
-        if (status != CallStatus::Success) {
-            if (status == CallStatus::TimedOut)
-                co_return AttemptOutcome::OutOfTime;
-            co_return m_streamStarted ? AttemptOutcome::StreamBroken : AttemptOutcome::MayHaveRun;
-        }
+        if (status == CallStatus::TimedOut)
+            co_return AttemptOutcome::OutOfTime;
+        if (status != CallStatus::Success)
+            co_return streamFailure();
     }
     writeLog(call.head().status, "streamed");
     co_return AttemptOutcome::Delivered;
