Decode each entry of a store page on its own

Cause: a page was parsed as one JSON document, so one value that the parser rejects hid all entries; the node asked for the same page for ever. Numbers out of range, raw control characters and unknown escapes did the same, and an entry nested 400,000 levels deep ended the process.

The new decoder test fails on the code as found (the page is not decoded at all) for the first of its nine kinds of fields.

Change: core/json_slices splits a page into the texts of its entries and their parts without parsing them; each part is parsed on its own, 64 levels deep at most. Why it works: what is rejected is one part of one entry. Weighed: replacing such escapes in the text, which mends one kind only.

Still refused as a whole: a page with an unescaped quote or an unbalanced bracket.

--- a/misc/fuzz.sh
+++ b/misc/fuzz.sh
@@ -27,5 +27,5 @@
 fuzz fuzz_wire_input corpus "$runs" core/net/http_parser.cpp modules/forward/event_stream.cpp -lhttp_parser
 # This target decodes each input as a document, as messages and as compressed text, which is slower by a factor of ten, so it gets a
 # tenth of the inputs.
-fuzz fuzz_documents corpus_documents "$((runs / 10))" core/deflate.cpp core/digest.cpp core/outcome.cpp core/utf8.cpp core/net/address.cpp core/net/frame.cpp modules/admission/shared_admission.cpp \
+fuzz fuzz_documents corpus_documents "$((runs / 10))" core/deflate.cpp core/digest.cpp core/json_slices.cpp core/outcome.cpp core/utf8.cpp core/net/address.cpp core/net/frame.cpp modules/admission/shared_admission.cpp \
     modules/balance/endpoint_speeds.cpp modules/balance/prefix_cache.cpp modules/control/endpoint_history.cpp modules/limits/endpoint_credits.cpp modules/limits/endpoint_limits.cpp modules/limits/advertised_limits.cpp modules/limits/team_bucket.cpp modules/limits/team_limits.cpp modules/peers/group_aggregate.cpp modules/suspects/suspect_tracker.cpp modules/suspects/suspect_update.cpp platform/decoders.cpp platform/store_pages.cpp -lcrypto -lxxhash -lz -lpthread
--- a/tests/platform/test_decoders.cpp
+++ b/tests/platform/test_decoders.cpp
@@ -123,6 +123,30 @@
     BOOST_TEST(Platform::decodeEndpoint("b", page.value().objects.objects[1].value).has_value());
 }
 
+// Guards against a field that is no valid JSON, such as an escape that stands for no character, hiding all other entries of its page.
+BOOST_AUTO_TEST_CASE(a_field_that_is_no_valid_json_affects_only_its_own_entry)
+{
+    auto deeplyNested = std::string(400000, '[') + std::string(400000, ']');
+    for (const auto& value : { std::string(R"("\udcff\udcfe")"), std::string(R"("\ud800")"), std::string(R"("\q")"), std::string("1e400"), std::string("-1e999"), std::string("\"a\x01\n\""), std::string("nothing"), std::string("01"), deeplyNested }) {
+        auto broken = validObject("broken").dump();
+        auto field = std::string(R"("service":"s")");
+        broken.replace(broken.find(field), field.size(), R"("service":)" + value);
+        auto page = Platform::decodeListPage("{\"modRev\":3,\"entries\":[" + validObject("a").dump() + "," + broken + "," + validObject("b").dump() + "]}");
+        BOOST_REQUIRE(page.has_value());
+        const auto& objects = page.value().objects.objects;
+        BOOST_REQUIRE(objects.size() == 3U);
+        BOOST_TEST(Platform::decodeEndpoint("a", objects[0].value).has_value());
+        BOOST_TEST(objects[1].name == "broken");
+        BOOST_TEST(!Platform::decodeEndpoint("broken", objects[1].value).has_value());
+        BOOST_TEST(Platform::decodeEndpoint("b", objects[2].value).has_value());
+        auto changes = Platform::decodeChanges("{\"modRev\":3,\"events\":[{\"deleted\":false,\"object\":" + broken + "},{\"deleted\":true,\"object\":" + validObject("b").dump() + "}]}");
+        BOOST_REQUIRE(changes.has_value());
+        BOOST_REQUIRE(changes.value().objects.size() == 2U);
+        BOOST_TEST(changes.value().objects[0].value.is_null());
+        BOOST_TEST(changes.value().objects[1].deleted);
+    }
+}
+
 // Property: with arbitrary bytes in one field of one entry, in a list or in a change event, all other entries are decoded unchanged.
 BOOST_AUTO_TEST_CASE(arbitrary_bytes_in_one_entry_leave_the_others_unchanged)
 {
