Divide the places of the queue also by nodes that are not heard

Cause: a node's share was its demand over the demand that it hears, which is its own if it hears nobody.

Change: the share is multiplied by the part of the known nodes that is heard, so that the others keep theirs.

--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -482,7 +482,7 @@
     for (const auto& [service, demand] : result.demand)
         rates[service] = { .requestsPerSecond = demand.requestsPerSecond, .refusedPerSecond = demand.refusedPerSecond };
     forward.returnTurns.setRates(rates, result.fleetTimeMilliseconds);
-    forward.waiting.setDemand(forward.demand.demand(), result.demand);
+    forward.waiting.setDemand(forward.demand.demand(), result.demand, result.alivePeers + 1);
 }
 
 asio::awaitable<void> EntryNode::RequestSide::drain()
--- a/modules/forward/waiting_requests.cpp
+++ b/modules/forward/waiting_requests.cpp
@@ -64,12 +64,13 @@
     wakeNext(service);
 }
 
-void WaitingRequests::setDemand(const std::map<std::string, ServiceDemand>& own, const std::map<std::string, ServiceDemand>& all)
+void WaitingRequests::setDemand(const std::map<std::string, ServiceDemand>& own, const std::map<std::string, ServiceDemand>& heard, unsigned heardNodes)
 {
+    m_heardNodes = heardNodes;
     m_shares.clear();
     for (const auto& [service, demand] : own) {
-        auto total = all.find(service);
-        if (total != all.end() && total->second.requestsPerSecond > 0)
+        auto total = heard.find(service);
+        if (total != heard.end() && total->second.requestsPerSecond > 0)
             m_shares[service] = std::min(1.0, demand.requestsPerSecond / total->second.requestsPerSecond);
     }
 }
@@ -82,7 +83,8 @@
     auto known = m_shares.find(service);
     if (nodes <= 1 || known == m_shares.end())
         return even;
-    return std::max(known->second, even * leastPartOfEvenShare);
+    auto heardPart = std::min(1.0, m_heardNodes * even);
+    return std::max(known->second * heardPart, even * leastPartOfEvenShare);
 }
 
 } // namespace Onyxnotch
--- a/modules/forward/waiting_requests.h
+++ b/modules/forward/waiting_requests.h
@@ -49,9 +49,11 @@
     void onPlaceTaken(const std::string& service, const std::string& team) { m_queue.onPlaceTaken(service, team); }
     void onPlaceReleased(const std::string& service, const std::string& team);
 
-    // Sets this node's part of the demand of each service, from its own demand and that of all nodes including itself.
-    void setDemand(const std::map<std::string, ServiceDemand>& own, const std::map<std::string, ServiceDemand>& all);
-    // This node's part of the service's places; `nodes` is used while the demand is unknown.
+    // Sets this node's part of the demand of each service, from its own demand and that of the `heardNodes` nodes whose state was received
+    // lately, including itself.
+    void setDemand(const std::map<std::string, ServiceDemand>& own, const std::map<std::string, ServiceDemand>& heard, unsigned heardNodes);
+    // This node's part of the service's places among `nodes` nodes. Those that are not heard may be cut off from this node, and are expected
+    // to have the average demand of those that are.
     double share(const std::string& service, unsigned nodes) const;
 
 private:
@@ -59,7 +61,8 @@
     RequestQueue m_queue;
     std::map<std::uint64_t, std::shared_ptr<QueueWaiter>> m_waiters {};
     std::map<std::string, PlacePacer> m_pacers {};
-    std::map<std::string, double> m_shares {};
+    std::map<std::string, double> m_shares {}; // Parts of the demand that is heard.
+    unsigned m_heardNodes { 1 };
     std::uint64_t m_lastId { 0 };
     bool m_isStopped { false };
 };
