--- a/core/net/http_parser.cpp
+++ b/core/net/http_parser.cpp
@@ -58,6 +58,9 @@
         return true;
     }
 
+    // Such a response has no body, whatever its header fields say (RFC 9112, section 6.3).
+    bool isBodilessStatus(int status) { return status / 100 == 1 || status == 204 || status == 304; }
+
     void trim(std::string& text)
     {
         auto end = text.find_last_not_of(" \t");
@@ -143,7 +146,8 @@
     {
         auto& parser = self(library);
         parser.m_state = HttpParserState::Body;
-        return parser.m_noBody ? 1 : 0;
+        bool isBodiless = parser.m_kind == HttpMessageKind::Response && isBodilessStatus(static_cast<int>(library->status_code));
+        return parser.m_noBody || isBodiless ? 1 : 0;
     }
 
     static int onBody(http_parser* library, const char* at, std::size_t size)
@@ -188,8 +192,7 @@
 {
     if (m_noBody || m_kind == HttpMessageKind::Request)
         return false;
-    bool statusHasNoBody = m_head.status == 204 || m_head.status == 304 || m_head.status / 100 == 1;
-    return !statusHasNoBody && !m_head.chunked && !m_head.contentLength;
+    return !isBodilessStatus(m_head.status) && !m_head.chunked && !m_head.contentLength;
 }
 
 // Parses the head and the fields that delimit the body. Contradictory or repeated ones make the message malformed. Returns true if the
--- a/tests/core/net/test_http_parser.cpp
+++ b/tests/core/net/test_http_parser.cpp
@@ -70,6 +70,21 @@
     BOOST_TEST(parser.body() == "ab");
 }
 
+// Guards against bytes after such a head that are taken for its body, and against a wait for a body that never comes.
+BOOST_AUTO_TEST_CASE(responses_whose_status_allows_no_body_end_with_their_head)
+{
+    for (const auto* fields : { "204 No Content\r\n", "204 No Content\r\nContent-Length: 5\r\n", "204 No Content\r\nTransfer-Encoding: chunked\r\n", "304 Not Modified\r\nContent-Length: 5\r\n" }) {
+        BOOST_TEST_CONTEXT(fields)
+        {
+            HttpParser parser(HttpMessageKind::Response, headLimit);
+            std::string input = std::string("HTTP/1.1 ") + fields + "\r\nhello";
+            BOOST_TEST((parser.feed(input) == HttpParserState::Complete));
+            BOOST_TEST(parser.body().empty());
+            BOOST_TEST(input == "hello");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_response_is_not_complete)
 {
     for (const auto* bytes : { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "HTTP/1.1 200" }) {
--- a/tests/entry/test_forwarding.cpp
+++ b/tests/entry/test_forwarding.cpp
@@ -103,6 +103,23 @@
     BOOST_TEST(answer.whole);
 }
 
+// Guards against bytes of a faulty endpoint that stand before the client's next answer.
+BOOST_AUTO_TEST_CASE(bytes_after_an_answer_without_a_body_are_not_forwarded)
+{
+    SingleNodeSite one([](const auto& it) {
+        auto head = "HTTP/1.1 204 No Content\r\nAttempt-Id: " + std::string(it.head.value("attempt-id")) + "\r\nServer-Stamp: s\r\n";
+        return Fakes::ScriptedResponse { .bytes = head + "Content-Length: 5\r\n\r\nhello" };
+    });
+    RawClient caller(one.node.callers);
+    for (const auto* id : { "id-1", "id-2" }) {
+        caller.send(request("GET", "/safe/a", id));
+        auto answer = caller.read();
+        BOOST_TEST(answer.whole);
+        BOOST_TEST(answer.head.status == HttpStatus::noContent);
+        BOOST_TEST(answer.head.value("attempt-id") == id);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_answer_is_neither_forwarded_nor_retried)
 {
     for (auto ending : { Ending::Close, Ending::Reset }) {
