Use the usual names for backoffs, advertised limits and reservations

"Rest", "word" and "held" were names of our own. Also removes TeamLimits::expectedNodes(), which had no caller.

--- a/modules/balance/endpoint_backoffs.h
+++ b/modules/balance/endpoint_backoffs.h
@@ -12,14 +12,14 @@
 
 class EndpointBackoffs {
 public:
-    // Starts a backoff of length `rest` for the endpoint. If one is already running, the later end applies.
-    void ask(const EndpointIncarnation& life, Milliseconds rest, SteadyTime now)
+    // Starts a backoff of length `backoff` for the endpoint. If one is already running, the later end applies.
+    void start(const EndpointIncarnation& life, Milliseconds backoff, SteadyTime now)
     {
-        std::erase_if(m_restEnds, [now](const auto& it) { return it.second <= now; });
-        if (rest.count() <= 0)
+        std::erase_if(m_ends, [now](const auto& it) { return it.second <= now; });
+        if (backoff.count() <= 0)
             return;
-        auto& end = m_restEnds[life];
-        end = std::max(end, now + rest);
+        auto& end = m_ends[life];
+        end = std::max(end, now + backoff);
     }
 
     bool isInBackoff(const EndpointIncarnation& life, SteadyTime now) const { return endOf(life) > now; }
@@ -27,17 +27,17 @@
     // End of the endpoint's backoff; a default-constructed time if it has none.
     SteadyTime endOf(const EndpointIncarnation& life) const
     {
-        auto it = m_restEnds.find(life);
-        return it == m_restEnds.end() ? SteadyTime {} : it->second;
+        auto it = m_ends.find(life);
+        return it == m_ends.end() ? SteadyTime {} : it->second;
     }
 
-    std::size_t resting(SteadyTime now) const
+    std::size_t count(SteadyTime now) const
     {
-        return static_cast<std::size_t>(std::count_if(m_restEnds.begin(), m_restEnds.end(), [now](const auto& it) { return it.second > now; }));
+        return static_cast<std::size_t>(std::count_if(m_ends.begin(), m_ends.end(), [now](const auto& it) { return it.second > now; }));
     }
 
 private:
-    std::map<EndpointIncarnation, SteadyTime> m_restEnds {};
+    std::map<EndpointIncarnation, SteadyTime> m_ends {};
 };
 
 } // namespace Onyxnotch
--- a/modules/balance/endpoint_book.cpp
+++ b/modules/balance/endpoint_book.cpp
@@ -144,7 +144,7 @@
 bool EndpointBook::isCandidate(const EndpointState& state, const EndpointRequest& request, SteadyTime now) const
 {
     bool isExcluded = std::find(request.excluded.begin(), request.excluded.end(), state.listed.id) != request.excluded.end();
-    if (isExcluded || !isEligible(state, request) || m_rests.isInBackoff(state.listed.life(), now))
+    if (isExcluded || !isEligible(state, request) || m_backoffs.isInBackoff(state.listed.life(), now))
         return false;
     return !request.skipsEndpointsWithoutCredit || m_limits.creditAt(state.listed.life(), now) <= now;
 }
@@ -171,7 +171,7 @@
     for (const auto& it : found->second) {
         if (!isEligible(*it, request))
             continue;
-        auto end = std::max(m_rests.endOf(it->listed.life()), m_limits.creditAt(it->listed.life(), now));
+        auto end = std::max(m_backoffs.endOf(it->listed.life()), m_limits.creditAt(it->listed.life(), now));
         if (end <= now)
             return std::nullopt;
         first = std::min(first.value_or(end), end);
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -126,11 +126,11 @@
     // Whether this incarnation is in the list and not marked as leaving.
     bool isExpectedToServe(const EndpointIncarnation&) const;
     bool isLeaving(const EndpointIncarnation& life) const { return m_leaving.contains(life); }
-    // Records a backoff requested by the endpoint. During `rest` it is not chosen, even as the last one left: it would refuse the request.
-    void askedRest(const EndpointIncarnation& life, Milliseconds rest, SteadyTime now) { m_rests.ask(life, rest, now); }
-    std::size_t resting(SteadyTime now) const { return m_rests.resting(now); }
+    // Records a backoff requested by the endpoint. During it the endpoint is not chosen, even as the last one left: it would refuse the request.
+    void onBackoffRequested(const EndpointIncarnation& life, Milliseconds backoff, SteadyTime now) { m_backoffs.start(life, backoff, now); }
+    std::size_t endpointsInBackoff(SteadyTime now) const { return m_backoffs.count(now); }
     // Whether a request that was assigned to this endpoint may still be sent there.
-    bool mayStillSend(const EndpointIncarnation& life, SteadyTime now) const { return isExpectedToServe(life) && !m_rests.isInBackoff(life, now); }
+    bool mayStillSend(const EndpointIncarnation& life, SteadyTime now) const { return isExpectedToServe(life) && !m_backoffs.isInBackoff(life, now); }
     // Limits that endpoints advertise for the requests of all nodes together.
     EndpointLimits& limits() { return m_limits; }
     const EndpointLimits& limits() const { return m_limits; }
@@ -231,7 +231,7 @@
     std::map<EndpointIncarnation, LeavingMark> m_leaving {}; // A mark is never withdrawn while the incarnation is listed.
     std::vector<std::shared_ptr<EndpointState>> m_loadedByPeers {}; // Endpoints for which other nodes reported load.
     SteadyTime m_resendMarksUntil {};
-    EndpointBackoffs m_rests {};
+    EndpointBackoffs m_backoffs {};
     EndpointLimits m_limits {};
     bool m_readsStore { true };
     SteadyTime m_firstSentAt {}; // When the first prompt was sent to any endpoint.
--- a/modules/entry/entry_limits.cpp
+++ b/modules/entry/entry_limits.cpp
@@ -62,7 +62,7 @@
 {
     LimitUpdate update { .node = m_options.node, .lifetime = m_options.lifetime };
     if (includeLimits)
-        update.words = limits().limitsToSend();
+        update.limits = limits().limitsToSend();
     if (includeUses)
         update.uses = limits().creditUsesToSend(now);
     return update;
@@ -149,7 +149,7 @@
     auto now = steadyNow();
     ++m_unreportedRequests[incarnation];
     auto relays = m_relay.rowReceivers();
-    auto limit = limits().word(incarnation);
+    auto limit = limits().advertisedLimit(incarnation);
     if (!limit || relays.empty() || limits().creditAt(incarnation, now) > now)
         co_return false;
     CreditRequest creditRequest { .number = ++m_lastRequestNumber, .word = *limit, .asks = m_unreportedRequests[incarnation] };
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -47,7 +47,7 @@
         m_requests->forward.retries.setOptions(options.retries);
         m_requests->forward.options.sharedAdmission = options.forward.sharedAdmission;
         m_requests->forward.options.maximumClients = options.forward.maximumClients;
-        m_requests->forward.bodyMemory.setMost(options.forward.maximumBufferedBodyBytes);
+        m_requests->forward.bodyMemory.setLimit(options.forward.maximumBufferedBodyBytes);
     });
 }
 
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -113,8 +113,8 @@
     reportRefusedPeers(now);
     if (ticks % retryReportTicks == 0)
         reportRetries(now);
-    forward.metrics.set("onyxnotch_entry_resting_endpoints", static_cast<double>(forward.endpoints.resting(now)));
-    forward.metrics.set("onyxnotch_entry_held_bytes", static_cast<double>(forward.bodyMemory.held()));
+    forward.metrics.set("onyxnotch_entry_resting_endpoints", static_cast<double>(forward.endpoints.endpointsInBackoff(now)));
+    forward.metrics.set("onyxnotch_entry_held_bytes", static_cast<double>(forward.bodyMemory.reserved()));
     if (auto leftOut = forward.succeededRequestLines.takeSuppressedCount() + forward.failedRequestLines.takeSuppressedCount())
         logEvent(LogLevel::Info, "request_lines_left_out", { { "count", leftOut } });
     ++ticks;
--- a/modules/forward/exchange_notes.cpp
+++ b/modules/forward/exchange_notes.cpp
@@ -177,7 +177,7 @@
         m_context.endpoints.markFoundLeaving(life, now);
     // The backoff is randomized so that requests from many nodes do not return to the endpoint at the same moment.
     if (notice.backoff)
-        m_context.endpoints.askedRest(life, randomlyLengthened(*notice.backoff, m_context.random), now);
+        m_context.endpoints.onBackoffRequested(life, randomlyLengthened(*notice.backoff, m_context.random), now);
     if (notice.limitPerSecond)
         applyLimit(life, *notice.limitPerSecond);
 }
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -61,9 +61,9 @@
     }
 
     // In bytes; existing reservations stay even if they exceed it.
-    void setMost(std::size_t limit) { m_limit = limit; }
+    void setLimit(std::size_t limit) { m_limit = limit; }
     // Bytes reserved by all sessions.
-    std::size_t held() const { return m_reserved; }
+    std::size_t reserved() const { return m_reserved; }
 
     // The bytes reserved by one client session; released by the destructor.
     class Reservation {
--- a/modules/gateway/request_server.cpp
+++ b/modules/gateway/request_server.cpp
@@ -503,11 +503,11 @@
 
 std::optional<RequestError> RequestServer::suspectedRequestError(const RequestDigest& digest)
 {
-    return m_suspects.use([&](SuspectTracker& book) -> std::optional<RequestError> {
+    return m_suspects.use([&](SuspectTracker& tracker) -> std::optional<RequestError> {
         auto now = steadyNow();
-        if (book.maySend(digest, now))
+        if (tracker.maySend(digest, now))
             return std::nullopt;
-        return refusal(HttpStatus::serviceUnavailable, "endpoints end under this request", std::max(book.remainingBlockTime(digest, now), m_options.defaultRetryAfter));
+        return refusal(HttpStatus::serviceUnavailable, "endpoints end under this request", std::max(tracker.remainingBlockTime(digest, now), m_options.defaultRetryAfter));
     });
 }
 
@@ -515,15 +515,15 @@
 {
     auto now = steadyNow();
     SuspectUpdate update;
-    m_suspects.use([&](SuspectTracker& book) {
-        for (const auto& it : book.takeNewlyBlocked())
-            logEvent(LogLevel::Warning, "request_blocked", { { "digest", it.request.text() }, { "ended_endpoints", book.endedIncarnations(it.request) }, { "round", static_cast<unsigned>(it.round) } });
-        for (const auto& it : book.takeNewlyCleared())
+    m_suspects.use([&](SuspectTracker& tracker) {
+        for (const auto& it : tracker.takeNewlyBlocked())
+            logEvent(LogLevel::Warning, "request_blocked", { { "digest", it.request.text() }, { "ended_endpoints", tracker.endedIncarnations(it.request) }, { "round", static_cast<unsigned>(it.round) } });
+        for (const auto& it : tracker.takeNewlyCleared())
             logEvent(LogLevel::Info, "request_cleared", { { "digest", it.text() } });
-        bool isNew = book.takeHasUpdate();
-        isNew = book.takeRelayDue() || isNew;
+        bool isNew = tracker.takeHasUpdate();
+        isNew = tracker.takeRelayDue() || isNew;
         if (isNew || now - m_suspectsSentAt >= blockedResendPeriod)
-            update = book.relayedUpdate(now);
+            update = tracker.relayedUpdate(now);
     });
     if (update.empty())
         return;
@@ -541,7 +541,7 @@
 
 void RequestServer::applySuspectUpdate(const SuspectUpdate& update)
 {
-    m_suspects.use([&](SuspectTracker& book) { book.onPeerUpdate(update, steadyNow()); });
+    m_suspects.use([&](SuspectTracker& tracker) { tracker.onPeerUpdate(update, steadyNow()); });
 }
 
 void RequestServer::expire()
--- a/modules/limits/endpoint_limits.cpp
+++ b/modules/limits/endpoint_limits.cpp
@@ -15,7 +15,7 @@
 bool EndpointLimits::onPeerUpdate(const LimitUpdate& message, std::uint64_t fleetMilliseconds, SteadyTime now)
 {
     bool hasChanged = false;
-    for (const auto& it : message.words) {
+    for (const auto& it : message.limits) {
         bool isFromFuture = std::max(it.receivedAt, it.sentAt) > fleetMilliseconds + m_options.maxClockLeadMilliseconds;
         hasChanged = (!isFromFuture && onAdvertisedLimit(it, now)) || hasChanged;
     }
--- a/modules/limits/endpoint_limits.h
+++ b/modules/limits/endpoint_limits.h
@@ -12,17 +12,17 @@
 struct LimitUpdate {
     std::string node {};
     std::uint64_t lifetime { 0 };
-    std::vector<AdvertisedLimit> words {};
+    std::vector<AdvertisedLimit> limits {};
     std::vector<CreditUse> uses {};
 
     bool operator==(const LimitUpdate&) const = default;
 
     template <class Archive>
-    void serialize(Archive& archive) { archive(node, lifetime, words, uses); }
+    void serialize(Archive& archive) { archive(node, lifetime, limits, uses); }
 };
 
 struct EndpointLimitsOptions {
-    AdvertisedLimitsOptions words {};
+    AdvertisedLimitsOptions advertised {};
     EndpointCreditsOptions credits {};
     // Maximum entries of one message, about 4 kB and 3 kB. If there are more, successive messages rotate through them.
     std::size_t limitsPerMessage { 64 };
@@ -36,7 +36,7 @@
 public:
     explicit EndpointLimits(const EndpointLimitsOptions& options = {}, std::uint64_t seed = std::random_device {}())
         : m_options(options)
-        , m_limits(options.words)
+        , m_limits(options.advertised)
         , m_credits(options.credits, seed)
     {
     }
@@ -47,7 +47,7 @@
     // clock that the fleet agrees on. Returns true if a limit in force changed.
     bool onPeerUpdate(const LimitUpdate&, std::uint64_t fleetMilliseconds, SteadyTime now);
     bool knows(const EndpointIncarnation& life) const { return m_limits.hasEntry(life); }
-    std::optional<AdvertisedLimit> word(const EndpointIncarnation& life) const { return m_limits.find(life); }
+    std::optional<AdvertisedLimit> advertisedLimit(const EndpointIncarnation& life) const { return m_limits.find(life); }
     std::optional<double> perSecond(const EndpointIncarnation& life) const { return m_limits.perSecond(life); }
     bool isLimited(const EndpointIncarnation& life) const { return m_limits.perSecond(life).has_value(); }
     std::size_t limited() const { return m_limits.limitedCount(); }
--- a/modules/limits/team_limits.h
+++ b/modules/limits/team_limits.h
@@ -106,7 +106,6 @@
     void setTolerance(const TeamLimitTolerance& tolerance) { m_options.tolerance = tolerance; }
     // Sets the best known number of nodes, including this one. From then on a node that has not received any report has only its even share.
     void setExpectedNodes(unsigned nodes);
-    unsigned expectedNodes() const { return m_options.expectedNodes; }
     // Levels of the teams, for nodes that have just started. Without those of which this node does not know what was admitted before its start.
     std::map<std::string, double> levels(SteadyTime now) const;
     // Replaces what this node assumed at its start by the levels that a node from before knows. Its start reserve ends with that. Returns
--- a/modules/request/model_runner.cpp
+++ b/modules/request/model_runner.cpp
@@ -89,7 +89,7 @@
 bool ModelRunner::isSendingAllowed(const ActiveRequest& request) const
 {
     auto digest = digestOf(request.description());
-    return m_suspects.use([&](SuspectTracker& book) { return book.maySend(digest, steadyNow()); });
+    return m_suspects.use([&](SuspectTracker& tracker) { return tracker.maySend(digest, steadyNow()); });
 }
 
 ModelRunner::Step ModelRunner::startAttempt(ActiveRequest& request, Progress& progress) const
@@ -161,12 +161,12 @@
     }
     auto incarnationId = fastHash(endpoint.id);
     progress.sentAt = steadyNow();
-    m_suspects.use([&](SuspectTracker& book) { book.onSent(digestOf(description), incarnationId, zoneHash(endpoint.zone)); });
-    stream.onHead([&](std::optional<double> limit) { m_directory.loads().namedLimit(endpoint.id, limit, progress.sentAt, m_directory.gatewayCount()); });
+    m_suspects.use([&](SuspectTracker& tracker) { tracker.onSent(digestOf(description), incarnationId, zoneHash(endpoint.zone)); });
+    stream.onHead([&](std::optional<double> limit) { m_directory.loads().onAdvertisedLimit(endpoint.id, limit, progress.sentAt, m_directory.gatewayCount()); });
     auto end = stream.start(streamRequest, [&](const EngineEvent& event) { return receive(request, streamRequest.streamId, event); });
     request.detach();
-    if (auto requestedBackoff = stream.askedRest())
-        m_directory.loads().askedRest(endpoint.id, *requestedBackoff);
+    if (auto requestedBackoff = stream.requestedBackoff())
+        m_directory.loads().onBackoffRequested(endpoint.id, *requestedBackoff);
     return onStreamEnd(request, progress, end);
 }
 
@@ -227,7 +227,7 @@
     switch (end) {
     case EngineStreamEnd::Completed: {
         auto incarnationId = fastHash(request.place().endpoint);
-        m_suspects.use([&](SuspectTracker& book) { book.onAnswered(digestOf(request.description()), incarnationId, progress.sentAt, steadyNow()); });
+        m_suspects.use([&](SuspectTracker& tracker) { tracker.onAnswered(digestOf(request.description()), incarnationId, progress.sentAt, steadyNow()); });
         m_directory.loads().onRequestAccepted(request.place().endpoint);
         return finish(request, RequestOutcome::Completed, "answer whole");
     }
@@ -259,7 +259,7 @@
 void ModelRunner::reportAttemptEnded(const ActiveRequest& request) const
 {
     auto incarnationId = fastHash(request.place().endpoint);
-    m_suspects.use([&](SuspectTracker& book) { book.onEnded(digestOf(request.description()), incarnationId); });
+    m_suspects.use([&](SuspectTracker& tracker) { tracker.onEnded(digestOf(request.description()), incarnationId); });
 }
 
 void ModelRunner::onEngineLost(ActiveRequest& request, Progress& progress, const std::string& reason) const
@@ -267,7 +267,7 @@
     auto location = request.place();
     // The end of a draining engine is expected, so it is not blamed on the request.
     if (!m_directory.isLeaving(location.endpoint))
-        m_suspects.use([&](SuspectTracker& book) { book.onLost(digestOf(request.description()), fastHash(location.endpoint), steadyNow()); });
+        m_suspects.use([&](SuspectTracker& tracker) { tracker.onLost(digestOf(request.description()), fastHash(location.endpoint), steadyNow()); });
     abandonAttempt(request, progress, reason);
 }
 
@@ -330,7 +330,7 @@
         return false;
     }
     reportAttemptEnded(request);
-    m_suspects.use([&](SuspectTracker& book) { book.onSent(digestOf(request.description()), fastHash(target.id), zoneHash(target.zone)); });
+    m_suspects.use([&](SuspectTracker& tracker) { tracker.onSent(digestOf(request.description()), fastHash(target.id), zoneHash(target.zone)); });
     request.setLocation({ .attempt = location.attempt, .endpoint = target.id, .address = target.address });
     request.trace(m_options.node, "transfer_cache", std::to_string(imported.value()) + " tokens to " + target.id);
     m_metrics.increment("onyxnotch_transferred_tokens_total", {}, static_cast<double>(imported.value()));
@@ -341,7 +341,7 @@
 {
     auto location = request.place();
     if (outcome != RequestOutcome::Completed && !location.empty()) {
-        m_suspects.use([&](SuspectTracker& book) { book.onLeft(digestOf(request.description()), fastHash(location.endpoint), steadyNow()); });
+        m_suspects.use([&](SuspectTracker& tracker) { tracker.onLeft(digestOf(request.description()), fastHash(location.endpoint), steadyNow()); });
         (void)EngineClient(location.address).cancel(location.attempt);
     }
     request.trace(m_options.node, toString(outcome), reason);
--- a/modules/request/plain_call.cpp
+++ b/modules/request/plain_call.cpp
@@ -37,7 +37,7 @@
             break;
         }
         auto digest = digestOf(request.team, request.service, request.path, request.body);
-        if (!m_suspects.use([&](SuspectTracker& book) { return book.maySend(digest, steadyNow()); })) {
+        if (!m_suspects.use([&](SuspectTracker& tracker) { return tracker.maySend(digest, steadyNow()); })) {
             reason = "endpoints end under this request";
             break;
         }
@@ -87,17 +87,17 @@
     auto digest = digestOf(request.team, request.service, request.path, request.body);
     auto incarnationId = fastHash(endpoint.id);
     auto sentAt = steadyNow();
-    m_suspects.use([&](SuspectTracker& book) { book.onSent(digest, incarnationId, zoneHash(endpoint.zone)); });
+    m_suspects.use([&](SuspectTracker& tracker) { tracker.onSent(digest, incarnationId, zoneHash(endpoint.zone)); });
     auto answer = tryEndpoint(request, endpoint, deadline);
     bool isGood = answer && answer->outcome == RequestOutcome::Completed && answer->httpStatus / 100 == 2;
     bool isLost = answer && answer->outcome == RequestOutcome::Unknown && !m_isAbandoned && steadyNow() < deadline;
-    m_suspects.use([&](SuspectTracker& book) {
+    m_suspects.use([&](SuspectTracker& tracker) {
         if (isGood)
-            book.onAnswered(digest, incarnationId, sentAt, steadyNow());
+            tracker.onAnswered(digest, incarnationId, sentAt, steadyNow());
         else if (isLost)
-            book.onLost(digest, incarnationId, steadyNow());
+            tracker.onLost(digest, incarnationId, steadyNow());
         else
-            book.onEnded(digest, incarnationId);
+            tracker.onEnded(digest, incarnationId);
     });
     return answer;
 }
@@ -128,8 +128,8 @@
         answer.httpStatus = reply.status;
         answer.contentType = reply.header("content-type");
         if (auto requestedBackoff = HttpStatus::isRefusalStatus(reply.status) ? parseRetryAfter(reply.header("retry-after")) : std::nullopt)
-            m_directory.loads().askedRest(endpoint.id, *requestedBackoff);
-        m_directory.loads().namedLimit(endpoint.id, namedLimit(reply), sentAt, m_directory.gatewayCount());
+            m_directory.loads().onBackoffRequested(endpoint.id, *requestedBackoff);
+        m_directory.loads().onAdvertisedLimit(endpoint.id, advertisedLimit(reply), sentAt, m_directory.gatewayCount());
         notStarted = reply.status == HttpStatus::serviceUnavailable && !reply.header(notStartedHeader).empty();
         return true;
     };
--- a/modules/routing/load_tracker.cpp
+++ b/modules/routing/load_tracker.cpp
@@ -104,10 +104,10 @@
     return load;
 }
 
-void LoadTracker::askedRest(const std::string& endpoint, Milliseconds backoff)
+void LoadTracker::onBackoffRequested(const std::string& endpoint, Milliseconds backoff)
 {
     std::lock_guard lock(m_mutex);
-    m_backoffs.ask({ .id = endpoint }, backoff, steadyNow());
+    m_backoffs.start({ .id = endpoint }, backoff, steadyNow());
 }
 
 Milliseconds LoadTracker::backoffLeft(const std::string& endpoint) const
@@ -116,7 +116,7 @@
     return std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(m_backoffs.endOf({ .id = endpoint }) - steadyNow()));
 }
 
-void LoadTracker::namedLimit(const std::string& endpoint, std::optional<double> perSecond, SteadyTime sentAt, unsigned gateways)
+void LoadTracker::onAdvertisedLimit(const std::string& endpoint, std::optional<double> perSecond, SteadyTime sentAt, unsigned gateways)
 {
     std::lock_guard lock(m_mutex);
     EndpointIncarnation incarnation { .id = endpoint };
--- a/modules/routing/load_tracker.h
+++ b/modules/routing/load_tracker.h
@@ -48,12 +48,12 @@
     // Removes the load of an endpoint, unless this node has requests in flight there.
     void forget(const std::string& endpoint);
     // The endpoint refused a request and asked this node to send none for the given time.
-    void askedRest(const std::string& endpoint, Milliseconds);
+    void onBackoffRequested(const std::string& endpoint, Milliseconds);
     // Time left of the backoff that the endpoint requested; 0 if there is none.
     Milliseconds backoffLeft(const std::string& endpoint) const;
     // A response to a request sent at `sentAt` advertised a limit of `perSecond` requests per second, which all gateways share, or no
     // limit. This gateway uses an equal share: the limit divided by `gateways`.
-    void namedLimit(const std::string& endpoint, std::optional<double> perSecond, SteadyTime sentAt, unsigned gateways);
+    void onAdvertisedLimit(const std::string& endpoint, std::optional<double> perSecond, SteadyTime sentAt, unsigned gateways);
     // Takes one credit of the advertised limit, for a request about to be sent. Returns false if none is left.
     bool takeCredit(const std::string& endpoint);
     // Returns the credit of a request that was not sent.
--- a/servers/engine/advertised_limit.h
+++ b/servers/engine/advertised_limit.h
@@ -10,6 +10,6 @@
 constexpr auto limitHeader = "onyxnotch-limit";
 
 // Returns nothing if the field is missing or not a decimal number.
-inline std::optional<double> namedLimit(const HttpReply& reply) { return parseDecimal(reply.header(limitHeader)); }
+inline std::optional<double> advertisedLimit(const HttpReply& reply) { return parseDecimal(reply.header(limitHeader)); }
 
 } // namespace Onyxnotch
--- a/servers/engine/engine_client.cpp
+++ b/servers/engine/engine_client.cpp
@@ -83,7 +83,7 @@
         status = reply.status;
         if (HttpStatus::isRefusalStatus(status))
             m_requestedBackoff = parseRetryAfter(reply.header("retry-after"));
-        m_onHead(namedLimit(reply));
+        m_onHead(advertisedLimit(reply));
         return reply.ok();
     };
     auto result = m_stream->run(call, onHeaders, [&](std::string_view data) { return parser.feed(data); });
--- a/servers/engine/engine_client.h
+++ b/servers/engine/engine_client.h
@@ -85,7 +85,7 @@
     // Sets the hook that is called when a response head has arrived, with the request rate limit that it advertises, if any.
     void onHead(std::function<void(std::optional<double> limitPerSecond)> hook) { m_onHead = std::move(hook); }
     // Backoff that the engine requested (Retry-After) when it rejected the request with 429 or 503. Empty if it requested none.
-    std::optional<Milliseconds> askedRest() const { return m_requestedBackoff; }
+    std::optional<Milliseconds> requestedBackoff() const { return m_requestedBackoff; }
 
 private:
     EngineStreamEnd read(const struct HttpCall&, const Receiver&);
--- a/tests/fuzz/fuzz_documents.cpp
+++ b/tests/fuzz/fuzz_documents.cpp
@@ -90,10 +90,10 @@
 {
     constexpr std::size_t maximumEntries = 16;
     constexpr SteadyTime now { std::chrono::hours(1) };
-    EndpointLimits limits({ .words = { .most = maximumEntries }, .limitsPerMessage = maximumEntries }, 1);
+    EndpointLimits limits({ .advertised = { .most = maximumEntries }, .limitsPerMessage = maximumEntries }, 1);
     limits.onPeerUpdate(news, 1000000, now);
     require(limits.limited() <= maximumEntries && limits.limitsToSend().size() <= maximumEntries);
-    for (const auto& it : news.words) {
+    for (const auto& it : news.limits) {
         (void)limits.take(it.endpoint, 1, now);
         require(limits.creditAt(it.endpoint, now) - now <= std::chrono::hours(1));
     }
--- a/tests/modules/balance/test_endpoint_book.cpp
+++ b/tests/modules/balance/test_endpoint_book.cpp
@@ -139,10 +139,10 @@
     second.id = "j";
     EndpointRequest request { .service = "s" };
     book.update(listOf({ first, second }), oneService(), start);
-    book.askedRest(first.life(), Milliseconds(3000), start);
+    book.onBackoffRequested(first.life(), Milliseconds(3000), start);
     BOOST_TEST(book.choose(request, start)->endpoint->listed.id == "j");
     BOOST_TEST(!book.earliestAvailable(request, start).has_value());
-    book.askedRest(second.life(), Milliseconds(2000), start);
+    book.onBackoffRequested(second.life(), Milliseconds(2000), start);
     BOOST_TEST(!book.choose(request, start).has_value());
     BOOST_TEST((book.earliestAvailable(request, start) == start + Milliseconds(2000)));
     // The backoff also stays when the endpoint disappears from the list and returns.
--- a/tests/modules/limits/limit_simulation.h
+++ b/tests/modules/limits/limit_simulation.h
@@ -154,7 +154,7 @@
         auto& it = m_granters[from];
         it.sendsAt.reset();
         it.lastSentAt = m_now;
-        auto limitMessage = std::make_shared<const LimitUpdate>(LimitUpdate { .node = "n" + std::to_string(from), .lifetime = it.lifetime, .words = it.limits->limitsToSend(), .uses = it.limits->creditUsesToSend(m_now) });
+        auto limitMessage = std::make_shared<const LimitUpdate>(LimitUpdate { .node = "n" + std::to_string(from), .lifetime = it.lifetime, .limits = it.limits->limitsToSend(), .uses = it.limits->creditUsesToSend(m_now) });
         std::bernoulli_distribution isLost(m_options.lossShare);
         std::bernoulli_distribution isSlow(0.2);
         for (unsigned n = 0; n < m_granters.size(); ++n) {
--- a/tests/modules/limits/test_endpoint_limits.cpp
+++ b/tests/modules/limits/test_endpoint_limits.cpp
@@ -237,7 +237,7 @@
 {
     EndpointLimits limits({}, 1);
     limits.onAdvertisedLimit({ .endpoint = endpoint, .perSecond = 1, .sentAt = 1000, .receivedAt = 1010 }, start);
-    LimitUpdate limitMessage { .node = "b", .lifetime = 1, .words = { { .endpoint = endpoint, .perSecond = unlimitedPerSecond, .sentAt = 6000, .receivedAt = 6010 } } };
+    LimitUpdate limitMessage { .node = "b", .lifetime = 1, .limits = { { .endpoint = endpoint, .perSecond = unlimitedPerSecond, .sentAt = 6000, .receivedAt = 6010 } } };
     BOOST_TEST(!limits.onPeerUpdate(limitMessage, 1020, start));
     BOOST_TEST(limits.isLimited(endpoint));
     BOOST_TEST(limits.onPeerUpdate(limitMessage, 6020, start));
