--- a/core/json_slices.cpp
+++ b/core/json_slices.cpp
@@ -43,6 +43,7 @@
         return {};
     }
 
+    // The extent of the value that begins at `at`. A number or word ends where a delimiter follows; whether it is valid is not checked.
     ValueExtent findValue(std::string_view text, std::size_t at)
     {
         if (at >= text.size())
@@ -54,7 +55,7 @@
         return { .end = std::min(text.find_first_of(",}] \t\r\n", at), text.size()) };
     }
 
-    // Reads a text from its front to its end.
+    // Reads the values and punctuation of a text one after the other.
     class SliceReader {
     public:
         explicit SliceReader(std::string_view text)
--- a/tests/entry/test_event_streams.cpp
+++ b/tests/entry/test_event_streams.cpp
@@ -55,16 +55,7 @@
 BOOST_AUTO_TEST_CASE(a_resumable_stream_continues_at_another_endpoint_with_its_first_head)
 {
     SingleNodeSite one([](const auto&) { return Fakes::ScriptedResponse {}; });
-    // Each endpoint resets a new stream after event 3, and completes a resumed one.
-    auto script = [](const Fakes::ReceivedRequest& it) {
-        auto last = std::string(it.head.value("last-event-id"));
-        if (last.empty())
-            return Fakes::ScriptedResponse { .bytes = streamHead(it) + events(1, 3), .ending = Ending::Reset };
-        return Fakes::ScriptedResponse { .bytes = streamHead(it) + events(std::stoi(last) + 1, 6) + "0\r\n\r\n" };
-    };
-    one.endpoint.setScript(script);
-    auto& other = one.site.addEndpoint("i-2", script);
-    BOOST_REQUIRE(one.node.process->waitLine([](const auto& it) { return it.find("\"endpoint\":\"i-2\"") != std::string::npos; }, Milliseconds(10000)));
+    auto& other = breakNewStreams(one, "", Ending::Reset);
     auto answer = one.sendRequest(request("POST", "/resume/a", "id-1", "", "x"));
     BOOST_TEST(answer.whole);
     BOOST_TEST(answer.body == plainEvents(1, 6));
