--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -69,6 +69,7 @@
     unsigned past { 0 }; // Not answered timeoutMs after they were sent.
     unsigned unanswered { 0 }; // Nor half a second later.
     long longest { 0 };
+    std::vector<std::string> lines {};
 };
 
 void sendPlain(const Address& machine, const std::string& name, Clock::time_point until, Results& results)
@@ -85,6 +86,7 @@
             results.past += took > timeoutMilliseconds ? 1 : 0;
             results.unanswered += took > timeoutMilliseconds + slackMilliseconds ? 1 : 0;
             results.longest = std::max(results.longest, took);
+            results.lines.push_back("request " + outcome.id + " was answered with " + std::to_string(outcome.status) + " after " + std::to_string(took) + " ms");
         }
         std::this_thread::sleep_for(requestPause);
     }
@@ -132,7 +134,8 @@
         clients.emplace_back([&, n] {
             Client client(machine.callers(), "stream-" + std::to_string(n), Milliseconds(streamTimeout));
             while (Clock::now() < until) {
-                client.send("POST", "/read/1", "prompt", clientPatience);
+                auto outcome = client.send("POST", "/read/1", "prompt", clientPatience);
+                record.line("request " + outcome.id + " was answered with " + std::to_string(outcome.status));
                 std::this_thread::sleep_for(requestPause);
             }
         });
@@ -140,6 +143,13 @@
     auto missed = countMissedQuestions(machine, until);
     for (auto& it : clients)
         it.join();
+    for (const auto& it : results.lines)
+        record.line(it);
+    RunPlaces places;
+    for (const auto& it : servers)
+        it->addRuns(places);
+    for (const auto& [id, server] : places)
+        record.line("request " + id + " ran at " + server);
     record.line(std::to_string(results.sent) + " plain requests sent, " + std::to_string(results.served) + " served; " + std::to_string(results.past) + " had no answer after " + std::to_string(timeoutMilliseconds) + " ms, " + std::to_string(results.unanswered) + " none " + std::to_string(slackMilliseconds) + " ms later; the longest took " + std::to_string(results.longest) + " ms");
     record.line(std::to_string(servers.front()->floodedBytes() / 1000000) + " MB were sent in spoiled answers; " + std::to_string(missed) + " of the platform's questions whether the machine is ready had no 200");
     record.line("peak memory of the process: " + std::to_string(machine.peakMemoryKilobytes()) + " kB");
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -80,6 +80,11 @@
     for (auto& it : clients)
         it.join();
 
+    RunPlaces places;
+    for (const auto& it : servers)
+        it->addRuns(places);
+    for (const auto& [id, status] : outcomes.statusOf)
+        record.line("request " + id + " was answered with " + std::to_string(status) + ", " + runText(places, id));
     unsigned late = 0;
     unsigned lost = 0;
     long latest = 0;
--- a/review/common-2/server.h
+++ b/review/common-2/server.h
@@ -11,6 +11,9 @@
 
 namespace Review {
 
+// Each run of a request, by the request's id.
+using RunPlaces = std::multimap<std::string, std::string>;
+
 // What a server does with one request.
 struct Reply {
     std::string bytes {};
@@ -44,6 +47,15 @@
         return m_runs;
     }
 
+    // Adds its runs to `places`.
+    void addRuns(RunPlaces& places) const
+    {
+        for (const auto& [id, count] : runs()) {
+            for (unsigned n = 0; n < count; ++n)
+                places.emplace(id, m_id);
+        }
+    }
+
     std::size_t floodedBytes() const { return m_floodedBytes; }
 
     // When each request reached it.
--- a/review/common-2/site.h
+++ b/review/common-2/site.h
@@ -66,6 +66,16 @@
     Clock::time_point m_startedAt { Clock::now() };
 };
 
+// "ran at" and the servers that ran the request.
+inline std::string runText(const RunPlaces& places, const std::string& id)
+{
+    std::string text;
+    auto [begin, end] = places.equal_range(id);
+    for (auto it = begin; it != end; ++it)
+        text += " " + it->second;
+    return text.empty() ? "ran nowhere" : "ran at" + text;
+}
+
 constexpr auto clientHost = "site.example";
 constexpr auto clientKey = "key-of-a";
 
