--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -148,8 +148,8 @@
     RunPlaces places;
     for (const auto& it : servers)
         it->addRuns(places);
-    for (const auto& [id, server] : places)
-        record.line("request " + id + " ran at " + server);
+    for (const auto& it : places)
+        record.line("request " + it.first + " " + runText(places, it.first));
     record.line(std::to_string(results.sent) + " plain requests sent, " + std::to_string(results.served) + " served; " + std::to_string(results.past) + " had no answer after " + std::to_string(timeoutMilliseconds) + " ms, " + std::to_string(results.unanswered) + " none " + std::to_string(slackMilliseconds) + " ms later; the longest took " + std::to_string(results.longest) + " ms");
     record.line(std::to_string(servers.front()->floodedBytes() / 1000000) + " MB were sent in spoiled answers; " + std::to_string(missed) + " of the platform's questions whether the machine is ready had no 200");
     record.line("peak memory of the process: " + std::to_string(machine.peakMemoryKilobytes()) + " kB");
