--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -17,7 +17,6 @@
 constexpr Milliseconds requestPause { 50 };
 constexpr Milliseconds duration { 30000 };
 constexpr unsigned spoiledEach = 50; // One answer in fifty of half of the servers is the default of the disruption.
-constexpr Milliseconds spoiledFor { 10000 };
 constexpr std::size_t bytesPerMegabit = 125000;
 constexpr std::size_t spoiledMegabits = 100; // A second; a tenth of the link of the small installations. SPOILED_MBPS sets another rate.
 constexpr int streamTimeout = 15000; // In milliseconds, as on the sheet.
@@ -108,16 +107,18 @@
     platform.put("config", "main", configuration(Json::array({ streamRoute, routeTo(plainService, "look", "idempotent", 2) }), services));
     std::vector<std::unique_ptr<Server>> servers;
     std::atomic<unsigned> answers { 0 };
+    DisruptionTimes times;
     auto startServer = [&](const std::string& service, int slots, Server::Handler handler) {
         servers.push_back(std::make_unique<Server>("i-" + std::to_string(servers.size() + 1), std::move(handler)));
         platform.put("servers", servers.back()->id(), serverEntry(*servers.back(), service, zone, slots));
     };
     for (unsigned n = 0; n < modelServers; ++n) {
         startServer(modelService, 64, [&, isFaulty = n == 0](const Message& request, unsigned) {
-            if (!isFaulty || !hasTrouble() || ++answers % spoiledEach != 0)
+            auto left = times.left();
+            if (!isFaulty || left.count() == 0 || ++answers % spoiledEach != 0)
                 return Reply { .bytes = stream(request), .work = Milliseconds(20) };
-            record.line("request " + request.value("attempt-id") + " gets a spoiled answer from i-1");
-            return Reply { .bytes = head(request), .floodFor = spoiledFor, .floodBytesPerSecond = spoiledBytesPerSecond() };
+            record.line("request " + request.value("attempt-id") + " gets a spoiled answer from i-1, for " + std::to_string(left.count()) + " ms at most");
+            return Reply { .bytes = head(request), .floodFor = left, .floodBytesPerSecond = spoiledBytesPerSecond() };
         });
     }
     for (unsigned n = 0; n < plainServers; ++n)
--- a/review/common-2/site.h
+++ b/review/common-2/site.h
@@ -15,6 +15,27 @@
     return !text || std::string(text) != "0";
 }
 
+// The times of a disruption that comes more than once: from `firstAt` on, `length` in each `period`.
+class DisruptionTimes {
+public:
+    static constexpr Milliseconds firstAt { 2000 };
+    static constexpr Milliseconds length { 5000 };
+    static constexpr Milliseconds period { 10000 };
+
+    // How much longer the disruption lasts that is in force now; 0 if none is, and always with TROUBLE=0.
+    Milliseconds left() const
+    {
+        auto time = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_startedAt) - firstAt;
+        if (!hasTrouble() || time.count() < 0 || time % period >= length)
+            return Milliseconds(0);
+        return length - time % period;
+    }
+    bool isInForce() const { return left().count() > 0; }
+
+private:
+    Clock::time_point m_startedAt { Clock::now() };
+};
+
 // A folder of the run, which is removed at its end.
 class Folder {
 public:
