Do not take a cut watch for an outage of the store

Cause: every failed call of the store counted as an outage, after which no endpoint without an entry is removed for 2 s. The store may cut a watch at any time while it serves everybody.

A watch whose connection the store ends is now repeated at once with a wait of zero. Only if the store does not respond to that is it a failure; until then no hold expires. Ruled out: a missed removal (an earlier watch reports it), the hold itself (no late request without the cut).

--- a/core/net/async_http_client.cpp
+++ b/core/net/async_http_client.cpp
@@ -24,6 +24,8 @@
         return text + call.body;
     }
 
+    bool isEndedByPeer(const asio::error_code& ec) { return ec == asio::error::eof || ec == asio::error::connection_reset || ec == asio::error::broken_pipe; }
+
 } // namespace
 
 AsyncHttpClient::AsyncHttpClient(asio::io_context& context, const Address& address)
@@ -81,7 +83,7 @@
         co_return AsyncHttpReply { .head = parser.head(), .body = std::move(parser.body()) };
     }
     connection->close();
-    co_return Error { ErrorCode::Ambiguous, "no answer from " + m_address.text() + ": " + ec.message() };
+    co_return Error { isEndedByPeer(ec) ? ErrorCode::Disconnected : ErrorCode::Ambiguous, "no answer from " + m_address.text() + ": " + ec.message() };
 }
 
 std::string percentEncode(std::string_view text)
--- a/core/net/async_http_client.h
+++ b/core/net/async_http_client.h
@@ -32,8 +32,9 @@
 public:
     AsyncHttpClient(asio::io_context&, const Address&);
 
-    // Errors: Unavailable if no byte of the request was sent, Ambiguous if the request may have been executed. A connection on which a
-    // call failed is not reused.
+    // Errors: Unavailable if no byte of the request was sent; Disconnected if the server closed or reset the connection before it had
+    // responded, and Ambiguous if it did not respond in time or its response cannot be used: the request may have been executed. A
+    // connection on which a call failed is not reused.
     // The argument must be a variable that outlives the call, not a temporary: GCC 12 copies an aggregate built inside a co_await
     // expression bytewise and frees its strings at the wrong address.
     asio::awaitable<Result<AsyncHttpReply>> call(const AsyncHttpCall&);
--- a/core/outcome.cpp
+++ b/core/outcome.cpp
@@ -17,6 +17,8 @@
         return "unavailable";
     case ErrorCode::Ambiguous:
         return "ambiguous";
+    case ErrorCode::Disconnected:
+        return "disconnected";
     case ErrorCode::Exhausted:
         return "exhausted";
     case ErrorCode::Stopped:
--- a/core/outcome.h
+++ b/core/outcome.h
@@ -16,6 +16,7 @@
     Unauthorized, // The client's API key is missing or unknown, or the object belongs to another team.
     Unavailable, // The peer refused or was unreachable; it has definitely not executed the operation.
     Ambiguous, // The response was lost; the peer may have executed the operation.
+    Disconnected, // The peer ended the connection before it had responded; it may have executed the operation.
     Exhausted, // A limit has been reached.
     Stopped, // This process is shutting down.
 };
--- a/main/operator_commands.cpp
+++ b/main/operator_commands.cpp
@@ -33,6 +33,7 @@
         case ErrorCode::Exhausted:
             return ExitCode::Unavailable;
         case ErrorCode::Ambiguous:
+        case ErrorCode::Disconnected:
             return ExitCode::Unknown;
         case ErrorCode::NotFound:
         case ErrorCode::Unauthorized:
--- a/modules/control/object_store.h
+++ b/modules/control/object_store.h
@@ -21,7 +21,8 @@
     // listAll() reads all pages.
     virtual asio::awaitable<Result<StorePage>> listPage(StoreKind, const std::string& afterName, ReadFreshness) = 0;
     // Waits up to `wait` for changes after `revision` and returns them; an empty list if there were none. Errors: Exhausted if the store no
-    // longer has the changes since `revision`, so that all objects must be listed again.
+    // longer has the changes since `revision`, so that all objects must be listed again; Disconnected if the store ended the connection
+    // before it responded, as it may do with any watch.
     virtual asio::awaitable<Result<StoreObjects>> watch(StoreKind, std::uint64_t revision, Milliseconds wait) = 0;
     // Returns nullopt if there is no such object.
     virtual asio::awaitable<Result<std::optional<StoreObject>>> read(StoreKind, const std::string& name) = 0;
--- a/modules/control/store_follower.cpp
+++ b/modules/control/store_follower.cpp
@@ -88,9 +88,26 @@
     co_return true;
 }
 
-asio::awaitable<bool> StoreFollower::watch()
+// A watch that the store cuts does not show whether the store is available, so it is repeated once without waiting for changes. The pause
+// after it limits the calls to a store that cuts every watch.
+asio::awaitable<Result<StoreObjects>> StoreFollower::watchOnce()
 {
     auto changes = co_await m_store.watch(m_kind, m_revision, m_nextWatchWait);
+    if (changes || changes.error().code != ErrorCode::Disconnected)
+        co_return changes;
+    if (m_cutLogBudget.take(steadyNow()))
+        logEvent(LogLevel::Info, "store_watch_cut", { { "kind", nameOf(m_kind) }, { "error", changes.error().message } });
+    m_wasWatchCut = true;
+    changes = co_await m_store.watch(m_kind, m_revision, Milliseconds(0));
+    m_wasWatchCut = false;
+    if (changes && changes.value().objects.empty())
+        co_await sleepFor(m_context, m_options.initialRetryDelay);
+    co_return changes;
+}
+
+asio::awaitable<bool> StoreFollower::watch()
+{
+    auto changes = co_await watchOnce();
     if (!changes && changes.error().code == ErrorCode::Exhausted) {
         logEvent(LogLevel::Info, "store_history_gone", { { "kind", nameOf(m_kind) }, { "revision", m_revision } });
         m_hasListed = false;
--- a/modules/control/store_follower.h
+++ b/modules/control/store_follower.h
@@ -21,7 +21,7 @@
     // Wait of the first watch call after a failure, doubled with each call that succeeds, up to `maxWatchWait`. Short, because a store that
     // accepts connections but never responds is detected only when this time is over.
     Milliseconds initialWatchWait { 500 };
-    Milliseconds initialRetryDelay { 100 }; // Before retrying after a failure; doubled with each failure.
+    Milliseconds initialRetryDelay { 100 }; // Before retrying after a failure or a watch that was cut; doubled with each failure.
     Milliseconds maxRetryDelay { 500 }; // Upper bound of the delay, and so of the time until the end of a store outage is noticed.
     // Before the next watch call, so that a burst of changes needs one call only; no change is needed sooner.
     Milliseconds pauseAfterChange { 100 };
@@ -55,8 +55,11 @@
     void acceptOldFirstList() { m_firstListFreshness = ReadFreshness::MayBeOld; }
     // Runs until the process ends.
     asio::awaitable<void> run();
-    // When a call to the store last failed; SteadyTime {} if none did.
+    // When the store last failed to respond to a call; SteadyTime {} if it never did. A watch that the store ended early is not a failure
+    // if the store responds to the next call.
     SteadyTime lastFailure() const { return m_lastFailure; }
+    // Whether the store ended the last watch early and has not responded to a call since: it may be available or not.
+    bool availabilityUnknown() const { return m_wasWatchCut; }
     bool connected() const { return m_isConnected; }
     // Store revision as of the last change.
     std::uint64_t revision() const { return m_revision; }
@@ -67,6 +70,7 @@
     asio::awaitable<void> waitBeforeRetry();
     asio::awaitable<void> waitWhileIdle();
     void updateConnection(const Error*);
+    asio::awaitable<Result<StoreObjects>> watchOnce();
     void logUnnamed(const StoreObjects&);
 
     asio::io_context& m_context;
@@ -83,12 +87,14 @@
     bool m_hasListed { false };
     bool m_isConnected { false };
     bool m_hasEverConnected { false };
+    bool m_wasWatchCut { false }; // The store ended the last call, which was a watch, before it responded.
     SteadyTime m_lastFailure {};
     Wakeup m_idle;
     Milliseconds m_nextRetryDelay;
     Milliseconds m_nextWatchWait;
     // Lines per second; limited because another client of the store may keep writing objects without a readable name.
     LogRateLimiter m_unnamedLogBudget { 1 };
+    LogRateLimiter m_cutLogBudget { 1 }; // Lines per second; the store may cut each watch.
     std::minstd_rand m_random { std::random_device {}() };
 };
 
--- a/modules/entry/entry_control.cpp
+++ b/modules/entry/entry_control.cpp
@@ -219,7 +219,8 @@
         node.m_controlState.holdsDuties = duties.holds();
         node.m_controlState.leftDutiesFence = duties.lastHeldFence();
         node.m_controlState.watchesStore = configurations.connected() && endpoints.connected();
-        if (registry.expire(endpoints.lastFailure(), steadyNow()))
+        // While it is unknown whether the store is available, endpoints may be unable to renew their entries.
+        if (!endpoints.availabilityUnknown() && registry.expire(endpoints.lastFailure(), steadyNow()))
             publishEndpoints(endpoints.connected() ? storeSource : peerSource);
     }
 }
--- a/tests/modules/control/test_store_follower.cpp
+++ b/tests/modules/control/test_store_follower.cpp
@@ -18,6 +18,8 @@
     }
 
     std::vector<Milliseconds> waits {};
+    ErrorCode failure { ErrorCode::Ambiguous }; // The error of watch calls that fail.
+    std::function<void()> onWatch {};
     std::function<void()> onLastWatch {};
 
     std::vector<ReadFreshness> lists {};
@@ -34,11 +36,13 @@
     asio::awaitable<Result<StoreObjects>> watch(StoreKind, std::uint64_t revision, Milliseconds wait) override
     {
         waits.push_back(wait);
+        if (onWatch)
+            onWatch();
         bool succeeds = waits.size() <= m_results.size() && m_results[waits.size() - 1];
         if (waits.size() >= m_results.size())
             onLastWatch();
         if (!succeeds)
-            co_return Error { ErrorCode::Ambiguous, "no answer" };
+            co_return Error { failure, "no answer" };
         co_return StoreObjects { .revision = revision };
     }
 
@@ -80,6 +84,42 @@
     BOOST_TEST((StoreFollowerOptions {}.maxWatchWait < propagationTime));
 }
 
+namespace {
+
+// Watches a store whose second watch is cut. Returns when the store had last failed after the third call, which responds as given.
+SteadyTime lastFailureAfterACutWatch(bool respondsAfterCut)
+{
+    asio::io_context context;
+    ScriptedStore store({ true, false, respondsAfterCut, true });
+    store.failure = ErrorCode::Disconnected;
+    StoreFollower follower(
+        context, store, StoreKind::Endpoints, [](const auto&, bool) {}, { .initialRetryDelay = Milliseconds(1), .maxRetryDelay = Milliseconds(1) });
+    std::vector<bool> unknown;
+    std::vector<SteadyTime> failures;
+    store.onWatch = [&] {
+        unknown.push_back(follower.availabilityUnknown());
+        failures.push_back(follower.lastFailure());
+    };
+    store.onLastWatch = [&] { context.stop(); };
+    asio::co_spawn(context, follower.run(), asio::detached);
+    context.run();
+    std::vector<bool> expected { false, false, true, false };
+    BOOST_REQUIRE_GE(unknown.size(), expected.size());
+    unknown.resize(expected.size());
+    BOOST_TEST((unknown == expected));
+    BOOST_TEST((store.waits[2] == Milliseconds(0)));
+    return failures[expected.size() - 1];
+}
+
+} // namespace
+
+// Guards against a fault where a watch that the store cut counted as an outage, during which endpoints stay listed without an entry.
+BOOST_AUTO_TEST_CASE(a_cut_watch_is_a_failure_only_if_the_store_does_not_respond_to_the_next_call)
+{
+    BOOST_TEST((lastFailureAfterACutWatch(true) == SteadyTime {}));
+    BOOST_TEST((lastFailureAfterACutWatch(false) != SteadyTime {}));
+}
+
 // Guards against a node that follows changes from a list whose revision and objects need not fit each other.
 BOOST_AUTO_TEST_CASE(a_first_list_that_may_be_old_is_not_watched_from)
 {
