Bound incomplete events, and serve others between reads of a flood

Cause: an incomplete event of any size was kept and searched from its start after each read, so the time grew with the square of its size; and a read that found data returned without going through the event loop and without looking at its deadline.

After the deadline, a read returns only what has arrived, at most four times.

--- a/core/net/async_connection.cpp
+++ b/core/net/async_connection.cpp
@@ -16,6 +16,9 @@
     constexpr std::size_t readBufferBytes = 16384; // Most requests and responses fit into one read.
     // Input buffer capacity that a waiting connection may retain. Events and the heads of small responses fit.
     constexpr std::size_t maximumRetainedInputBytes = 1024;
+    // Reads in a row that may be done without going through the event loop. A peer that sends faster than its data is processed must not
+    // keep the thread from its other connections.
+    constexpr unsigned maximumImmediateReads = 4;
     // Once a watched connection has this much unprocessed input, no more is read until the input is processed.
     constexpr std::size_t maximumReadAheadBytes = 65536;
 
@@ -130,9 +133,16 @@
     if (!m_socket.is_open())
         co_return asio::error::bad_descriptor;
     asio::error_code ec;
-    // Data that is already available is read without going through the event loop.
-    if (!m_receiveBufferEmpty && (readNow(ec) > 0 || ec))
-        co_return ec;
+    bool isLate = steadyNow() >= deadline;
+    // Data that has already arrived is read at once, also some after the deadline.
+    if (m_immediateReads < maximumImmediateReads && (!m_receiveBufferEmpty || isLate)) {
+        ++m_immediateReads;
+        if (readNow(ec) > 0 || ec)
+            co_return ec;
+    }
+    if (isLate)
+        co_return asio::error::timed_out;
+    m_immediateReads = 0;
     // Release large buffers before waiting, since there may be many idle connections.
     if (m_input.empty() && m_input.capacity() > maximumRetainedInputBytes)
         m_input = {};
--- a/core/net/async_connection.h
+++ b/core/net/async_connection.h
@@ -29,7 +29,8 @@
 
     // Each of the following operations returns asio::error::timed_out if the deadline passes before it completes.
     asio::awaitable<asio::error_code> connect(const Address&, SteadyTime deadline);
-    // Waits for data and appends it to input(). Returns asio::error::eof if the peer has closed its sending side.
+    // Waits for data and appends it to input(). Returns asio::error::eof if the peer has closed its sending side. Other connections of the
+    // thread are served between the reads even if the peer never stops sending, and the deadline holds then too.
     asio::awaitable<asio::error_code> read(SteadyTime deadline);
     asio::awaitable<asio::error_code> write(std::string_view, SteadyTime deadline);
     // Completes when the socket becomes writable or readable, or the peer has closed the connection.
@@ -76,6 +77,7 @@
     std::uint64_t m_watchGeneration { 0 }; // Incremented by unwatch(), so that completion handlers of an earlier watch are ignored.
     bool m_watching { false };
     bool m_receiveBufferEmpty { false }; // The last read emptied the receive buffer of the socket.
+    unsigned m_immediateReads { 0 }; // Since the last one that went through the event loop.
 };
 
 } // namespace Onyxnotch
--- a/modules/forward/event_stream.cpp
+++ b/modules/forward/event_stream.cpp
@@ -30,14 +30,19 @@
         return std::nullopt;
     }
 
-    // Returns the offset after the blank line that ends the first event, or npos if the event is incomplete.
-    std::size_t eventEnd(std::string_view bytes)
+    constexpr std::string_view eventEndAfterLineFeed = "\n\n";
+    constexpr std::string_view eventEndAfterCarriageReturn = "\r\n\r\n";
+
+    // Returns the offset after the blank line that ends the first event, or npos if the event is incomplete. No event ends in the first
+    // `searchedBytes`.
+    std::size_t eventEnd(std::string_view bytes, std::size_t searchedBytes)
     {
-        auto afterLineFeeds = bytes.find("\n\n");
-        auto afterCarriageReturns = bytes.find("\r\n\r\n");
-        if (afterLineFeeds == std::string_view::npos && afterCarriageReturns == std::string_view::npos)
-            return std::string_view::npos;
-        return afterLineFeeds < afterCarriageReturns ? afterLineFeeds + 2 : afterCarriageReturns + 4;
+        for (auto lineEnd = bytes.find('\n', searchedBytes); lineEnd != std::string_view::npos; lineEnd = bytes.find('\n', lineEnd + 1)) {
+            auto event = bytes.substr(0, lineEnd + 1);
+            if (event.ends_with(eventEndAfterLineFeed) || event.ends_with(eventEndAfterCarriageReturn))
+                return event.size();
+        }
+        return std::string_view::npos;
     }
 
 } // namespace
@@ -52,7 +57,7 @@
     std::size_t consumed = 0;
     std::string_view remaining(input);
     auto check = EventStreamCheck::Sound;
-    for (auto end = eventEnd(remaining); end != std::string_view::npos; end = eventEnd(remaining)) {
+    for (auto end = eventEnd(remaining, m_searchedBytes); end != std::string_view::npos; end = eventEnd(remaining, 0)) {
         if (auto id = parseEventId(remaining.substr(0, end))) {
             if (m_lastId && *id != *m_lastId + 1) {
                 check = EventStreamCheck::OutOfOrder;
@@ -66,6 +71,9 @@
     }
     output.append(input, 0, consumed);
     input.erase(0, consumed);
+    m_searchedBytes = input.size();
+    if (check == EventStreamCheck::Sound && input.size() > maximumEventBytes)
+        check = EventStreamCheck::TooLarge;
     return check;
 }
 
--- a/modules/forward/exchange_relay.cpp
+++ b/modules/forward/exchange_relay.cpp
@@ -65,6 +65,7 @@
     bool first = true;
     bool isWriteSlow = false;
     m_pauses.onAttempt();
+    m_events.beginResponse();
     while (true) {
         auto receivedAt = steadyNow();
         auto earlierEvents = m_events.events();
@@ -72,6 +73,8 @@
         call.body().clear();
         ready.clear();
         auto check = m_events.take(pending, ready);
+        if (check == EventStreamCheck::TooLarge)
+            m_context.metrics.increment("onyxnotch_entry_oversized_responses_total", { { "part", "event" } });
         bool isBroken = check != EventStreamCheck::Sound || (call.isComplete() && !pending.empty());
         bool last = call.isComplete() && !isBroken;
         // Events before a break are passed on too: the stream is resumed after the last one that was taken.
--- a/tests/entry/test_cut_watches.cpp
+++ b/tests/entry/test_cut_watches.cpp
@@ -33,6 +33,7 @@
     {
         std::atomic<bool> isStopped { false };
         std::vector<std::thread> clients;
+        clients.reserve(clientCount);
         for (unsigned n = 0; n < clientCount; ++n)
             clients.emplace_back([&, n] { sendRequests(n, isStopped); });
         BOOST_TEST(waitUntil([&] { return std::all_of(endpoints.begin(), endpoints.end(), [](const auto* it) { return !it->requests().empty(); }); }));
--- /dev/null
+++ b/tests/entry/test_endless_bytes.cpp
@@ -0,0 +1,133 @@
+// Tests peers that send bytes without end, with a real entry process: it ends such a message at its size limit, and serves others meanwhile.
+#include "tests/entry/single_node_site.h"
+#include "tests/entry/stream_answers.h"
+#include <fstream>
+#include <thread>
+
+using namespace Onyxnotch;
+using namespace Onyxnotch::Tests;
+
+namespace {
+
+constexpr Milliseconds floodTime { 6000 };
+constexpr Milliseconds observedTime { 5000 };
+constexpr std::size_t floodBytesPerSecond = 12500000; // Of one response; 100 Mbit/s.
+constexpr std::size_t floodedRequests = 6;
+constexpr Milliseconds promptly { 500 }; // Far less than the deadline of a request.
+constexpr auto longDeadline = "10000"; // In milliseconds, longer than a flood.
+constexpr auto shortDeadline = "1500";
+// Of the process, far below what floods send in `floodTime`.
+constexpr long maximumMemoryKilobytes = 100000;
+
+std::string chunkOf(const std::string& bytes)
+{
+    char size[24];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+long peakMemoryKilobytes(const EntryProcess& node)
+{
+    std::ifstream status("/proc/" + std::to_string(node.process->pid()) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:"))
+            return std::stol(line.substr(line.find_first_of("0123456789")));
+    }
+    return 0;
+}
+
+// Sends requests one after the other for `duration`, each of which must be answered promptly.
+void expectPromptService(const EntryProcess& node, Milliseconds duration)
+{
+    unsigned late = 0;
+    unsigned sent = 0;
+    for (auto until = steadyNow() + duration; steadyNow() < until;) {
+        auto sentAt = steadyNow();
+        auto status = EntrySite::ask(node.callers, request("GET", "/safe/a", "other-" + std::to_string(++sent))).head.status;
+        late += status != HttpStatus::ok || steadyNow() - sentAt > promptly ? 1 : 0;
+    }
+    BOOST_TEST(sent > 0U);
+    BOOST_TEST(late == 0U);
+    BOOST_TEST(peakMemoryKilobytes(node) < maximumMemoryKilobytes);
+}
+
+// Lets requests take as long as `longDeadline` says.
+void allowLongRequests(SingleNodeSite& one)
+{
+    auto configuration = EntrySite::declaration(2);
+    for (auto& it : configuration["routes"])
+        it["timeoutMs"] = std::stoi(longDeadline);
+    one.site.declare(configuration);
+    BOOST_REQUIRE(one.node.process->waitLine([](const auto& it) { return it.find("\"configuration_in_force\"") != std::string::npos && it.find("\"version\":2") != std::string::npos; }, Milliseconds(10000)));
+}
+
+std::string requestWithDeadline(const std::string& path, const std::string& deadline)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: flooded\r\nCredential: key-a\r\nDeadline-Ms: " + deadline + "\r\nContent-Length: 1\r\n\r\nx";
+}
+
+struct FloodedAnswer {
+    RawClient::Answer answer {};
+    Milliseconds took { 0 };
+};
+
+FloodedAnswer askForFlood(const EntryProcess& node, const std::string& path, const std::string& deadline)
+{
+    auto sentAt = steadyNow();
+    auto answer = EntrySite::ask(node.callers, requestWithDeadline(path, deadline));
+    return { .answer = std::move(answer), .took = toMilliseconds(steadyNow() - sentAt) };
+}
+
+// Sends requests to `path` whose responses begin with `head` and go on with `flood` without end, and others meanwhile. Returns the responses.
+std::vector<FloodedAnswer> askForFloods(SingleNodeSite& one, const std::string& path, const std::string& deadline, const std::function<std::string(const Fakes::ReceivedRequest&)>& head, const std::string& flood)
+{
+    allowLongRequests(one);
+    one.endpoint.setScript([=](const auto& it) {
+        if (it.head.target == path)
+            return Fakes::ScriptedResponse { .bytes = head(it), .ending = Ending::Flood, .flood = flood, .floodTime = floodTime, .floodBytesPerSecond = floodBytesPerSecond };
+        return Fakes::ScriptedResponse { .bytes = answerTo(it, "hello") };
+    });
+    std::vector<FloodedAnswer> answers(floodedRequests);
+    std::vector<std::thread> clients;
+    clients.reserve(floodedRequests);
+    for (auto& it : answers)
+        clients.emplace_back([&] { it = askForFlood(one.node, path, deadline); });
+    expectPromptService(one.node, observedTime);
+    for (auto& it : clients)
+        it.join();
+    return answers;
+}
+
+Fakes::ScriptedResponse hello(const Fakes::ReceivedRequest& it) { return { .bytes = answerTo(it, "hello") }; }
+
+const std::string noise = chunkOf(std::string(65536, 'x'));
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EndlessBytes)
+
+// Guards against a fault where a stream without the end of an event kept the process from everything else until its endpoint stopped sending.
+BOOST_AUTO_TEST_CASE(an_event_without_end_does_not_hold_up_other_requests)
+{
+    SingleNodeSite one(hello);
+    for (const auto& it : askForFloods(one, "/stream/a", longDeadline, streamHead, noise)) {
+        BOOST_TEST(it.answer.head.status == HttpStatus::badGateway);
+        BOOST_TEST(it.took.count() < promptly.count());
+    }
+}
+
+// Guards against a fault where an endpoint that sent faster than the node read kept a stream going past its deadline.
+BOOST_AUTO_TEST_CASE(a_stream_of_events_without_end_ends_at_its_deadline)
+{
+    std::string burst;
+    for (int n = 0; n < 1000; ++n)
+        burst += "data: token\n\n";
+    SingleNodeSite one(hello);
+    for (const auto& it : askForFloods(one, "/stream/a", shortDeadline, streamHead, chunkOf(burst))) {
+        BOOST_TEST(it.answer.head.status == HttpStatus::ok);
+        BOOST_TEST(!it.answer.whole);
+        BOOST_TEST(it.took.count() < std::stoi(shortDeadline) + promptly.count());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -21,10 +21,14 @@
         Reset,
         Hang, // Send and read nothing until the peer closes the connection.
         Crash, // Stop the endpoint and close all its connections.
+        Flood, // Send `flood` again and again for `floodTime`, or until the peer closes the connection; then close.
     };
 
     std::string bytes {};
     Ending ending { Ending::Keep };
+    std::string flood {};
+    Milliseconds floodTime { 0 };
+    std::size_t floodBytesPerSecond { 0 }; // At most; 0: as fast as the peer reads.
     bool beforeBody { false }; // Respond after the head of the request, without reading its body.
 };
 
@@ -136,6 +140,10 @@
                 waitForPeer(socket);
                 break;
             }
+            if (answer.ending == ScriptedResponse::Ending::Flood) {
+                flood(socket, answer);
+                break;
+            }
             if (answer.ending == ScriptedResponse::Ending::Crash) {
                 stop();
                 break;
@@ -146,6 +154,18 @@
         socket.close(ec);
     }
 
+    static void flood(Socket& socket, const ScriptedResponse& response)
+    {
+        asio::error_code ec;
+        auto start = steadyNow();
+        std::size_t sent = 0;
+        while (!ec && steadyNow() < start + response.floodTime) {
+            sent += asio::write(socket, asio::buffer(response.flood), ec);
+            if (response.floodBytesPerSecond > 0)
+                std::this_thread::sleep_until(start + Milliseconds(sent * 1000 / response.floodBytesPerSecond));
+        }
+    }
+
     void waitForPeer(Socket& socket)
     {
         // Wait without reading, so that data sent by the peer stays in the socket buffers.
--- a/tests/fuzz/fuzz_wire_input.cpp
+++ b/tests/fuzz/fuzz_wire_input.cpp
@@ -54,7 +54,22 @@
     require(unsplit.head.target.find_first_of(" \r\n") == std::string::npos);
 }
 
-// The output must be a prefix of the input and consist of complete events.
+// Returns the events that are taken from input that arrives in pieces.
+std::string takeInPieces(const std::string& bytes)
+{
+    constexpr std::size_t pieceBytes = 3;
+    EventStream events;
+    std::string input;
+    std::string output;
+    auto check = EventStreamCheck::Sound;
+    for (std::size_t at = 0; at < bytes.size() && check == EventStreamCheck::Sound; at += pieceBytes) {
+        input += bytes.substr(at, pieceBytes);
+        check = events.take(input, output);
+    }
+    return output;
+}
+
+// The output must be a prefix of the input and consist of complete events, however the input is split into pieces.
 void checkEvents(const std::string& bytes)
 {
     EventStream events;
@@ -64,6 +79,7 @@
     require(output + input == bytes);
     require(output.empty() || output.back() == '\n');
     require(check == EventStreamCheck::OutOfOrder || input.find("\n\n") == std::string::npos);
+    require(takeInPieces(bytes) == output);
 }
 
 } // namespace
