Skip only so much before the response of an endpoint

Callers saw, in the test: a response to another request or interim responses without end kept a request for as long as they came, 6.0 s, or until its deadline.

Cause: what does not answer the request was skipped without a limit.

At most 16 responses or 2 MiB are skipped now; then the attempt fails, as with a head of over 64 KiB or a buffered body of over 1 MiB, which were limited before. All four are counted by part.

Measured: entry.EndlessBytes, eight kinds of responses without end, six at once each, with other requests beside them: 12 checks fail before (the two skipped kinds), none now. Each fails with 502 within 0.5 s.

--- a/modules/forward/endpoint_call.cpp
+++ b/modules/forward/endpoint_call.cpp
@@ -9,6 +9,10 @@
 
     constexpr std::size_t maximumAnswerHeadBytes = 65536;
     constexpr std::size_t writeStepBytes = 65536;
+    // Responses to other requests that are skipped before the one to this request, and the size of their bodies: a late response or two, each
+    // as large as one that is buffered.
+    constexpr unsigned maximumSkippedResponses = 16;
+    constexpr std::size_t maximumSkippedBytes = 2U << 20U;
 
     // Returns the timeout parameter, given in seconds, of a Keep-Alive field, or nullopt if there is none.
     std::optional<Milliseconds> keepAliveTimeout(const HttpHead& head)
@@ -182,6 +186,8 @@
             m_parser.expectNoBody();
         while (m_parser.state() == HttpParserState::Head) {
             auto status = co_await receive();
+            if (m_parser.state() == HttpParserState::HeadTooLarge)
+                recordOversized("head");
             if (status != CallStatus::Success)
                 co_return status;
         }
@@ -191,19 +197,37 @@
             co_return CallStatus::Success;
         if (!isInterim)
             m_context.metrics.increment("onyxnotch_entry_unmatched_responses_total", {});
-        // An interim response, or one to an earlier request: skips its body and reads the next response.
-        while (!isComplete()) {
-            auto status = co_await receive();
-            if (status != CallStatus::Success)
-                co_return status;
-            body().clear();
-        }
-        if (m_isConnectionClosed)
+        auto status = co_await skipResponse();
+        if (status != CallStatus::Success)
+            co_return status;
+    }
+}
+
+// Skips the body of an interim response, or of one to an earlier request, and prepares for reading the next response.
+asio::awaitable<CallStatus> EndpointCall::skipResponse()
+{
+    ++m_skippedResponses;
+    while (true) {
+        m_skippedBytes += body().size();
+        body().clear();
+        if (m_skippedBytes > maximumSkippedBytes || m_skippedResponses > maximumSkippedResponses) {
+            recordOversized("skipped");
             co_return CallStatus::Failed;
-        m_parser.reset();
+        }
+        if (isComplete())
+            break;
+        auto status = co_await receive();
+        if (status != CallStatus::Success)
+            co_return status;
     }
+    if (m_isConnectionClosed)
+        co_return CallStatus::Failed;
+    m_parser.reset();
+    co_return CallStatus::Success;
 }
 
+void EndpointCall::recordOversized(const std::string& part) { m_context.metrics.increment("onyxnotch_entry_oversized_responses_total", { { "part", part } }); }
+
 asio::awaitable<CallStatus> EndpointCall::readBody()
 {
     if (isComplete())
@@ -217,8 +241,10 @@
         auto status = co_await receive();
         if (status != CallStatus::Success)
             co_return status;
-        if (body().size() > m_context.options.maximumBufferedResponseBytes)
+        if (body().size() > m_context.options.maximumBufferedResponseBytes) {
+            recordOversized("body");
             co_return CallStatus::Failed;
+        }
     }
     co_return CallStatus::Success;
 }
--- a/modules/forward/endpoint_call.h
+++ b/modules/forward/endpoint_call.h
@@ -37,7 +37,8 @@
     asio::awaitable<CallStatus> connect(Milliseconds timeout);
     // Returns Success early, with the request partly sent, if the endpoint begins to respond before it has read the request.
     asio::awaitable<CallStatus> send(const std::string& head, const std::string& body);
-    // Reads up to the end of the response head. Skips interim responses and responses to earlier requests on this connection.
+    // Reads up to the end of the response head. Skips interim responses and responses to earlier requests on this connection; fails if there
+    // are too many of them, or they are too large.
     asio::awaitable<CallStatus> readHead(const std::string& requestId, bool expectBody);
     // Reads more of the body; isComplete() returns whether the response is complete.
     asio::awaitable<CallStatus> readBody();
@@ -56,6 +57,9 @@
 
 private:
     asio::awaitable<CallStatus> receive();
+    asio::awaitable<CallStatus> skipResponse();
+    // Counts a response that is ended because this part of it exceeds its maximum size.
+    void recordOversized(const std::string& part);
     bool isResponseTo(const std::string& requestId) const;
     bool reuseIdleConnection();
     void closeIdleConnection(std::size_t index);
@@ -68,6 +72,8 @@
     EndpointCallOptions m_options;
     std::shared_ptr<AsyncConnection> m_connection {};
     HttpParser m_parser;
+    unsigned m_skippedResponses { 0 };
+    std::size_t m_skippedBytes { 0 };
     bool m_isConnectionLimitReached { false };
     bool m_isRequestSent { false }; // All bytes of the request are written.
     bool m_isConnectionClosed { false }; // By the endpoint, or by cancel().
--- a/tests/core/net/test_http_parser.cpp
+++ b/tests/core/net/test_http_parser.cpp
@@ -117,6 +117,27 @@
     BOOST_TEST((stateOf(unterminated) == HttpParserState::HeadTooLarge));
 }
 
+// Guards against a message whose framing never ends: it is neither kept nor read without a limit.
+BOOST_AUTO_TEST_CASE(chunk_extensions_and_trailer_fields_without_end_are_malformed)
+{
+    constexpr std::size_t maximumFramingBytes = 256U << 10U;
+    for (const auto* begin : { "5;", "0\r\nX: " }) {
+        BOOST_TEST_CONTEXT(begin)
+        {
+            HttpParser parser(HttpMessageKind::Response, headLimit);
+            std::string input = std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + begin;
+            std::size_t fed = 0;
+            while (parser.feed(input) == HttpParserState::Body && fed < maximumFramingBytes) {
+                BOOST_REQUIRE(input.empty());
+                input.assign(16384, 'x');
+                fed += input.size();
+            }
+            BOOST_TEST((parser.state() == HttpParserState::Malformed));
+            BOOST_TEST(parser.body().empty());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_parser_can_be_reused_after_reset)
 {
     HttpParser parser(HttpMessageKind::Request, headLimit);
--- a/tests/entry/test_endless_bytes.cpp
+++ b/tests/entry/test_endless_bytes.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr Milliseconds floodTime { 6000 };
-constexpr Milliseconds observedTime { 5000 };
+constexpr Milliseconds longObservation { 5000 }; // Long enough for what is kept without a limit to grow.
+constexpr Milliseconds shortObservation { 1000 };
 constexpr std::size_t floodBytesPerSecond = 12500000; // Of one response; 100 Mbit/s.
 constexpr std::size_t floodedRequests = 6;
 constexpr Milliseconds promptly { 500 }; // Far less than the deadline of a request.
@@ -78,21 +79,27 @@
     return { .answer = std::move(answer), .took = toMilliseconds(steadyNow() - sentAt) };
 }
 
-// Sends requests to `path` whose responses begin with `head` and go on with `flood` without end, and others meanwhile. Returns the responses.
-std::vector<FloodedAnswer> askForFloods(SingleNodeSite& one, const std::string& path, const std::string& deadline, const std::function<std::string(const Fakes::ReceivedRequest&)>& head, const std::string& flood)
+struct Flood {
+    std::string path {}; // The requests whose responses never end.
+    std::function<std::string(const Fakes::ReceivedRequest&)> head {};
+    std::string bytes {}; // Sent again and again after the head.
+};
+
+// Sends requests whose responses never end, and others for `observation`. Returns the responses to the former.
+std::vector<FloodedAnswer> askForFloods(SingleNodeSite& one, const Flood& flood, const std::string& deadline, Milliseconds observation)
 {
     allowLongRequests(one);
     one.endpoint.setScript([=](const auto& it) {
-        if (it.head.target == path)
-            return Fakes::ScriptedResponse { .bytes = head(it), .ending = Ending::Flood, .flood = flood, .floodTime = floodTime, .floodBytesPerSecond = floodBytesPerSecond };
+        if (it.head.target == flood.path)
+            return Fakes::ScriptedResponse { .bytes = flood.head(it), .ending = Ending::Flood, .flood = flood.bytes, .floodTime = floodTime, .floodBytesPerSecond = floodBytesPerSecond };
         return Fakes::ScriptedResponse { .bytes = answerTo(it, "hello") };
     });
     std::vector<FloodedAnswer> answers(floodedRequests);
     std::vector<std::thread> clients;
     clients.reserve(floodedRequests);
     for (auto& it : answers)
-        clients.emplace_back([&] { it = askForFlood(one.node, path, deadline); });
-    expectPromptService(one.node, observedTime);
+        clients.emplace_back([&] { it = askForFlood(one.node, flood.path, deadline); });
+    expectPromptService(one.node, observation);
     for (auto& it : clients)
         it.join();
     return answers;
@@ -110,7 +117,7 @@
 BOOST_AUTO_TEST_CASE(an_event_without_end_does_not_hold_up_other_requests)
 {
     SingleNodeSite one(hello);
-    for (const auto& it : askForFloods(one, "/stream/a", longDeadline, streamHead, noise)) {
+    for (const auto& it : askForFloods(one, { .path = "/stream/a", .head = streamHead, .bytes = noise }, longDeadline, longObservation)) {
         BOOST_TEST(it.answer.head.status == HttpStatus::badGateway);
         BOOST_TEST(it.took.count() < promptly.count());
     }
@@ -123,11 +130,46 @@
     for (int n = 0; n < 1000; ++n)
         burst += "data: token\n\n";
     SingleNodeSite one(hello);
-    for (const auto& it : askForFloods(one, "/stream/a", shortDeadline, streamHead, chunkOf(burst))) {
+    for (const auto& it : askForFloods(one, { .path = "/stream/a", .head = streamHead, .bytes = chunkOf(burst) }, shortDeadline, longObservation)) {
         BOOST_TEST(it.answer.head.status == HttpStatus::ok);
         BOOST_TEST(!it.answer.whole);
         BOOST_TEST(it.took.count() < std::stoi(shortDeadline) + promptly.count());
     }
 }
 
+// Guards against responses that are kept or skipped without a limit: a head, a body with and without a length, a response to another request,
+// and interim responses.
+BOOST_AUTO_TEST_CASE(a_response_without_end_fails_at_its_size_limit)
+{
+    using Head = std::function<std::string(const Fakes::ReceivedRequest&)>;
+    auto ownHead = [](const Fakes::ReceivedRequest& it, const std::string& more) { return "HTTP/1.1 200 OK\r\nAttempt-Id: " + std::string(it.head.value("attempt-id")) + "\r\nServer-Stamp: stamp\r\n" + more; };
+    const std::string plainNoise(65536, 'x');
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    struct Case {
+        const char* name;
+        Head head;
+        std::string flood;
+    };
+    const std::vector<Case> cases {
+        { "no status line", [](const auto&) { return std::string(); }, plainNoise },
+        { "head", [=](const auto& it) { return ownHead(it, ""); }, "X-Field: " + std::string(1000, 'x') + "\r\n" },
+        { "chunked body", [=](const auto& it) { return ownHead(it, chunked); }, noise },
+        { "body of a length", [=](const auto& it) { return ownHead(it, "Content-Length: 900000000000\r\n\r\n"); }, plainNoise },
+        { "body until the end of the connection", [=](const auto& it) { return ownHead(it, "Connection: close\r\n\r\n"); }, plainNoise },
+        { "body of another response", [=](const auto&) { return "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n" + chunked; }, noise },
+        { "interim responses", [](const auto&) { return std::string(); }, "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "chunk extension", [=](const auto& it) { return ownHead(it, chunked + "5;"); }, plainNoise },
+    };
+    for (const auto& it : cases) {
+        BOOST_TEST_CONTEXT(it.name)
+        {
+            SingleNodeSite one(hello);
+            for (const auto& flooded : askForFloods(one, { .path = "/once/a", .head = it.head, .bytes = it.flood }, longDeadline, shortObservation)) {
+                BOOST_TEST(flooded.answer.head.status == HttpStatus::badGateway);
+                BOOST_TEST(flooded.took.count() < promptly.count());
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
