Limit the size of replies of the store, the cloud and other nodes

Cause: the client for calls of the node itself kept a reply of any size until the call's timeout, 0.7 to 3 s; at the rate of a link of 1 Gbit/s that is more than the memory of a node.

A larger reply is an error like one that is not HTTP.

Measured: with the check taken out, 4 checks of the test of replies without end fail (a reply of 900 MB is read to its end, in 1.5 s); they pass now.

--- a/core/net/async_http_client.cpp
+++ b/core/net/async_http_client.cpp
@@ -75,6 +75,8 @@
             state = parser.finish();
         if (state == HttpParserState::Malformed || state == HttpParserState::HeadTooLarge)
             co_return Error { ErrorCode::Ambiguous, m_address.text() + " sent no HTTP answer" };
+        if (parser.body().size() > call.maximumReplyBytes)
+            co_return Error { ErrorCode::Ambiguous, m_address.text() + " sent more than " + std::to_string(call.maximumReplyBytes) + " bytes" };
         if (state != HttpParserState::Complete)
             continue;
         bool reusable = !ec && parser.head().keepAlive && connection->input().empty();
--- a/core/net/async_http_client.h
+++ b/core/net/async_http_client.h
@@ -17,6 +17,7 @@
     std::string body {};
     std::string contentType { "application/json" };
     Milliseconds timeout { 2000 }; // For the complete call, including connecting.
+    std::size_t maximumReplyBytes { 1U << 20U }; // Size of the reply's body; a call whose reply is larger fails.
 };
 
 struct AsyncHttpReply {
--- a/modules/control/peer_pages.cpp
+++ b/modules/control/peer_pages.cpp
@@ -18,6 +18,7 @@
     // node.
     constexpr Milliseconds fullPageTimeout { 3000 };
     constexpr std::size_t maxDocumentSize = 32U << 20U; // In bytes, uncompressed; several times the size of a page of 11,000 endpoints.
+    constexpr std::size_t maxCompressedSize = 8U << 20U; // In bytes; the same, compressed.
     constexpr std::size_t maxCachedPages = 16; // Enough because requesting nodes have one of the last few revisions.
     constexpr std::size_t maxClients = 4; // For the two relay nodes of this node's zone, and for their replacements.
 
@@ -79,7 +80,7 @@
 asio::awaitable<nlohmann::json> PeerPageClient::fetch(Address peer, std::string path, Milliseconds timeout)
 {
     auto client = clientFor(peer);
-    AsyncHttpCall call { .target = path, .timeout = timeout };
+    AsyncHttpCall call { .target = path, .timeout = timeout, .maximumReplyBytes = maxCompressedSize };
     auto reply = co_await client->call(call);
     if (!reply || !reply.value().ok()) {
         logEvent(LogLevel::Info, "peer_page_missed", { { "peer", peer.text() }, { "path", path } });
--- a/tests/core/net/test_async_http_client.cpp
+++ b/tests/core/net/test_async_http_client.cpp
@@ -1,11 +1,41 @@
 #include "core/net/async_http_client.h"
 
+#include "tests/fakes/scripted_endpoint.h"
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace Onyxnotch;
+using namespace Onyxnotch::Fakes;
+
+namespace {
+
+struct CallResult {
+    bool succeeded { false };
+    ErrorCode error {};
+    Milliseconds took { 0 };
+};
+
+// Calls a server that sends `bytes` and then `flood` without end.
+CallResult callFlood(const std::string& bytes, const std::string& flood, Milliseconds timeout)
+{
+    ScriptedEndpoint server([&](const auto&) { return ScriptedResponse { .bytes = bytes, .ending = ScriptedResponse::Ending::Flood, .flood = flood, .floodTime = Milliseconds(5000) }; });
+    asio::io_context context;
+    AsyncHttpClient client(context, server.address());
+    AsyncHttpCall call { .target = "/", .timeout = timeout, .maximumReplyBytes = 1U << 20U };
+    CallResult result;
+    auto start = steadyNow();
+    auto run = [&]() -> asio::awaitable<void> {
+        auto reply = co_await client.call(call);
+        result = { .succeeded = reply.has_value(), .error = reply ? ErrorCode {} : reply.error().code, .took = toMilliseconds(steadyNow() - start) };
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run();
+    return result;
+}
+
+} // namespace
 
 BOOST_AUTO_TEST_SUITE(AsyncHttpClients)
 
@@ -40,4 +70,29 @@
     BOOST_TEST(duration.count() < 3000);
 }
 
+// Guards against a fault where the reply of a server that never stopped sending was kept without a limit until the call's timeout.
+BOOST_AUTO_TEST_CASE(a_reply_without_end_is_refused_at_its_size_limit)
+{
+    constexpr Milliseconds timeout { 3000 };
+    const std::string noise(65536, 'x');
+    for (const auto* head : { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 900000000\r\n\r\n", "HTTP/1.1 200 OK\r\nX: ", "" }) {
+        BOOST_TEST_CONTEXT(head)
+        {
+            auto result = callFlood(head, noise, timeout);
+            BOOST_TEST(!result.succeeded);
+            BOOST_TEST((result.error == ErrorCode::Ambiguous));
+            BOOST_TEST(result.took.count() < timeout.count() / 2);
+        }
+    }
+}
+
+// Guards against a server that keeps a call going past its timeout by sending a little now and then.
+BOOST_AUTO_TEST_CASE(a_reply_that_trickles_ends_at_the_timeout)
+{
+    constexpr Milliseconds timeout { 300 };
+    auto result = callFlood("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1;a\r\nx\r\n", timeout);
+    BOOST_TEST(!result.succeeded);
+    BOOST_TEST(result.took.count() < 2 * timeout.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
