End the body of a request with the request's deadline

Callers saw: a client that sent its body a byte at a time held a connection until the body was complete, for as long as it liked, and was then told that its deadline had passed.

Cause: the idle timeout began anew with each read, and the deadline was looked at only when the request was complete.

The body is read until the request's deadline or its route's timeout, and then refused with 408: it has not run. The rule for the two is one function now.

Measured: the test of a body that trickles (deadline 0.6 s) fails before and passes now. Heads, bodies and chunk extensions without end were limited before; the test shows it, with others served meanwhile.

--- a/modules/forward/client_session.cpp
+++ b/modules/forward/client_session.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr Milliseconds refusalWriteTimeout { 1000 }; // Timeout for writing an error response, which has no body.
+    constexpr Milliseconds unroutedBodyTimeout { 5000 }; // For the body of a request without a route, which is refused once it is complete.
     constexpr Milliseconds lingerTime { 500 }; // Time for a refused client to read the error response before the connection is closed.
 
 } // namespace
@@ -93,14 +94,23 @@
     co_return ReadResult::Complete;
 }
 
+SteadyTime ClientSession::bodyDeadline(const HttpHead& head) const
+{
+    auto configuration = m_context.view.configuration();
+    auto path = std::string_view(head.target).substr(0, head.target.find('?'));
+    const auto* route = configuration ? configuration->findRoute(head.value("host"), path) : nullptr;
+    return m_request.arrivedAt + requestTimeout(head.value(m_context.options.names.deadline), route ? route->timeout : unroutedBodyTimeout);
+}
+
 asio::awaitable<ClientSession::ReadResult> ClientSession::readBody(HttpParser& parser, const ClientLimits& bounds)
 {
     if (parser.head().contentLength.value_or(0) > bounds.maximumBodyBytes)
         co_return co_await refuse(HttpStatus::bodyTooLarge, "body_too_large");
     if (parser.state() == HttpParserState::Body && equalsIgnoringCase(parser.head().value("expect"), "100-continue"))
         co_await m_connection->write("HTTP/1.1 100 Continue\r\n\r\n", steadyNow() + bounds.headTimeout);
+    auto deadline = bodyDeadline(parser.head());
     while (parser.state() == HttpParserState::Body) {
-        auto ec = co_await m_connection->read(steadyNow() + bounds.idleTimeout);
+        auto ec = co_await m_connection->read(std::min(deadline, steadyNow() + bounds.idleTimeout));
         if (ec == asio::error::timed_out)
             co_return co_await refuse(HttpStatus::requestTimeout, "body_too_slow");
         if (ec)
--- a/modules/forward/client_session.h
+++ b/modules/forward/client_session.h
@@ -29,6 +29,8 @@
     // Sends an error response without a body and waits briefly for the client to read it.
     asio::awaitable<ReadResult> refuse(int status, std::string_view reason);
     ClientLimits limits() const;
+    // Until when the body of a request with this head is read: its deadline or the timeout of its route.
+    SteadyTime bodyDeadline(const HttpHead&) const;
 
     ForwardContext& m_context;
     std::shared_ptr<AsyncConnection> m_connection;
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -61,10 +61,7 @@
         m_teamCharge = out ? m_promptTokens + static_cast<double>(*out) : m_team->defaultTokens;
     }
     m_requestedTokens = static_cast<long>(m_teamCharge);
-    auto timeout = m_route->timeout;
-    if (auto deadline = parseNumber<std::int64_t>(m_request.head.value(m_context.options.names.deadline)))
-        timeout = std::min(timeout, Milliseconds(std::clamp<std::int64_t>(*deadline, 0, timeout.count())));
-    m_deadline = m_request.arrivedAt + timeout;
+    m_deadline = m_request.arrivedAt + requestTimeout(m_request.head.value(m_context.options.names.deadline), m_route->timeout);
     if (auto last = parseNumber<std::uint64_t>(m_request.head.value(m_context.options.names.lastEventId)))
         m_events = EventStream(last);
 }
--- a/modules/forward/head_fields.cpp
+++ b/modules/forward/head_fields.cpp
@@ -44,6 +44,12 @@
     return parts;
 }
 
+Milliseconds requestTimeout(std::string_view deadline, Milliseconds routeTimeout)
+{
+    auto milliseconds = parseNumber<std::int64_t>(deadline);
+    return milliseconds ? Milliseconds(std::clamp<std::int64_t>(*milliseconds, 0, routeTimeout.count())) : routeTimeout;
+}
+
 std::string formatSeconds(Milliseconds duration)
 {
     char buf[32];
--- a/modules/forward/head_fields.h
+++ b/modules/forward/head_fields.h
@@ -27,6 +27,10 @@
 // follows it cannot be interpreted.
 std::vector<PromptPart> parsePromptParts(std::string_view text);
 
+// The time that a client gives a request: the value of its deadline field in milliseconds, but no more than the timeout of its route, which
+// holds if the field is absent or not a number.
+Milliseconds requestTimeout(std::string_view deadline, Milliseconds routeTimeout);
+
 // Formats a duration as seconds with two decimals, e.g. "1.50".
 std::string formatSeconds(Milliseconds);
 
--- a/tests/entry/test_endless_bytes.cpp
+++ b/tests/entry/test_endless_bytes.cpp
@@ -1,6 +1,7 @@
 // Tests peers that send bytes without end, with a real entry process: it ends such a message at its size limit, and serves others meanwhile.
 #include "tests/entry/single_node_site.h"
 #include "tests/entry/stream_answers.h"
+#include <atomic>
 #include <fstream>
 #include <thread>
 
@@ -172,4 +173,73 @@
     }
 }
 
+// Guards against a client that keeps the process busy, or holds memory, by never ending its request.
+BOOST_AUTO_TEST_CASE(a_request_without_end_is_refused_at_its_size_limit)
+{
+    struct Case {
+        const char* name;
+        std::string head;
+        std::string flood;
+        int status;
+    };
+    const std::string post = "POST /once/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: endless\r\nCredential: key-a\r\n";
+    const std::vector<Case> cases {
+        { "head", post, "X-Field: " + std::string(1000, 'x') + "\r\n", HttpStatus::headTooLarge },
+        { "body", post + "Transfer-Encoding: chunked\r\n\r\n", noise, HttpStatus::bodyTooLarge },
+        { "chunk extension", post + "Transfer-Encoding: chunked\r\n\r\n5;", std::string(65536, 'x'), HttpStatus::badRequest },
+    };
+    SingleNodeSite one(hello);
+    for (const auto& it : cases) {
+        BOOST_TEST_CONTEXT(it.name)
+        {
+            std::thread client([&] {
+                asio::io_context context;
+                asio::ip::tcp::socket socket(context);
+                socket.connect({ asio::ip::make_address(one.node.callers.host), one.node.callers.port });
+                asio::error_code ec;
+                asio::write(socket, asio::buffer(it.head), ec);
+                for (auto until = steadyNow() + promptly; !ec && steadyNow() < until;)
+                    asio::write(socket, asio::buffer(it.flood), ec);
+                // The node closes the connection although the client still sends.
+                waitUntil([&] {
+                    if (!ec)
+                        asio::write(socket, asio::buffer(it.flood), ec);
+                    return bool(ec);
+                });
+                BOOST_TEST(bool(ec));
+            });
+            expectPromptService(one.node, Milliseconds(1000));
+            client.join();
+            auto refused = "\"status\":" + std::to_string(it.status);
+            BOOST_TEST(one.node.process->waitLine([&](const auto& line) { return line.find("request_refused") != std::string::npos && line.find(refused) != std::string::npos; }, Milliseconds(2000)).has_value());
+        }
+    }
+}
+
+// Guards against a fault where a client that sent its body slowly kept a connection far beyond the request's deadline.
+BOOST_AUTO_TEST_CASE(a_body_that_trickles_is_refused_at_the_deadline_of_its_request)
+{
+    constexpr Milliseconds deadline { 600 };
+    constexpr Milliseconds pause { 50 };
+    SingleNodeSite one(hello);
+    RawClient client(one.node.callers);
+    auto sentAt = steadyNow();
+    client.send("POST /once/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: slow\r\nCredential: key-a\r\nDeadline-Ms: 600\r\nContent-Length: 100\r\n\r\n");
+    std::atomic<bool> isAnswered { false };
+    std::thread sender([&] {
+        for (int n = 0; n < 99 && !isAnswered; ++n) {
+            std::this_thread::sleep_for(pause);
+            if (!isAnswered)
+                client.send("x");
+        }
+    });
+    auto answer = client.read();
+    isAnswered = true;
+    auto took = toMilliseconds(steadyNow() - sentAt);
+    sender.join();
+    BOOST_TEST(answer.head.status == HttpStatus::requestTimeout);
+    BOOST_TEST(took.count() < (deadline + promptly).count());
+    BOOST_TEST(one.endpoint.requests().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
