Close connections on which a response had no request id

Cause: a refusal without an id is believed. A late copy of it, where the response to the next request of the connection should come, was taken for that response: not executed, so the request was sent elsewhere.

A connection on which a response had no id is closed after it, so no request can meet the copy. Ruled out: not believing such refusals on reused connections (requests that another endpoint could serve would fail with 502).

--- a/modules/forward/endpoint_call.cpp
+++ b/modules/forward/endpoint_call.cpp
@@ -63,7 +63,9 @@
     if (!m_connection)
         return;
     auto time = keepAliveTimeout(head()).value_or(m_context.options.defaultIdleTimeout + m_context.options.idleReuseMargin) - m_context.options.idleReuseMargin;
-    bool reusable = isComplete() && m_isRequestSent && !m_isConnectionClosed && head().keepAlive && time.count() > 0 && m_connection->input().empty();
+    // A late copy of a response without a request id could not be told from the response to the next request.
+    bool hasRequestId = head().find(m_context.options.names.requestId);
+    bool reusable = isComplete() && hasRequestId && m_isRequestSent && !m_isConnectionClosed && head().keepAlive && time.count() > 0 && m_connection->input().empty();
     if (!reusable) {
         closeConnection();
         --m_endpoint->connections;
--- a/modules/forward/endpoint_call.h
+++ b/modules/forward/endpoint_call.h
@@ -28,7 +28,7 @@
 public:
     // `sent` holds the connections on which earlier attempts sent the same request: they are not reused. This call adds its own.
     EndpointCall(ForwardContext&, std::shared_ptr<EndpointState>, SentConnections& sent, EndpointCallOptions);
-    // Keeps the connection for reuse if the response was complete and no bytes followed it; otherwise closes it.
+    // Keeps the connection for reuse if the response was complete, had a request id and no bytes followed it; otherwise closes it.
     ~EndpointCall();
     EndpointCall(const EndpointCall&) = delete;
     EndpointCall& operator=(const EndpointCall&) = delete;
--- a/tests/entry/test_late_responses.cpp
+++ b/tests/entry/test_late_responses.cpp
@@ -11,8 +11,9 @@
 // One node and one endpoint with two slots. The endpoint refuses the first send of each request of /once/, and sends a copy of the refusal
 // before its next response on the same connection. It does not answer requests of /safe/, and executes those of /public/ at once.
 struct LateCopySite {
-    explicit LateCopySite(unsigned connectionsPerEndpoint)
-        : endpoint([this](const auto& it) { return answer(it); })
+    explicit LateCopySite(unsigned connectionsPerEndpoint, bool refusalsHaveIds = true)
+        : hasRefusalIds(refusalsHaveIds)
+        , endpoint([this](const auto& it) { return answer(it); })
     {
         auto configuration = EntrySite::declaration(1);
         configuration["services"][0]["maxConns"] = connectionsPerEndpoint + 1; // One is reserved for health checks.
@@ -47,7 +48,7 @@
         refusals[it.connection].clear();
         if (++sends[id] > 1)
             return { .bytes = lateCopy + answerTo(it, "hello") };
-        auto refusal = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+        auto refusal = "HTTP/1.1 503 Service Unavailable\r\n" + (hasRefusalIds ? "Attempt-Id: " + id + "\r\n" : "") + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
         refusals[it.connection] = refusal;
         return { .bytes = lateCopy + refusal };
     }
@@ -68,6 +69,7 @@
         BOOST_TEST(sends[id] == 2U);
     }
 
+    bool hasRefusalIds;
     std::map<std::string, unsigned> sends {}; // By request id.
     std::map<unsigned, std::string> refusals {}; // The last response on a connection if it was a refusal.
     EntrySite site {};
@@ -99,4 +101,15 @@
     one.checkExecutedOnce("id-2");
 }
 
+// Guards against a late copy of a refusal without an id that is taken for the response to the next request on the connection: that request
+// was executed twice.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_a_refusal_without_an_id_does_not_make_the_next_request_run_twice)
+{
+    LateCopySite one(10, false);
+    RawClient client(one.node->callers);
+    one.occupySlot(client);
+    for (const auto* id : { "id-1", "id-2", "id-3" })
+        one.checkExecutedOnce(id);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
