Let waiting requests go on when their route or team changes

Cause: a waiting request was refused as soon as the current configuration gave it another route or team than the one with which it had arrived.

Such a request now leaves the queue and starts over with the current configuration.

--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -95,6 +95,25 @@
 }
 
 asio::awaitable<ExchangeResult> Exchange::run()
+{
+    while (true) {
+        auto result = co_await runWithCurrentConfiguration();
+        if (result)
+            co_return *result;
+        startOver();
+    }
+}
+
+void Exchange::startOver()
+{
+    refundTeam();
+    m_mustStartOver = false;
+    m_team = nullptr;
+    m_digest.reset();
+    m_triedEndpoints.clear();
+}
+
+asio::awaitable<std::optional<ExchangeResult>> Exchange::runWithCurrentConfiguration()
 {
     if (auto refusal = findRoute())
         co_return co_await respond(*refusal);
@@ -124,7 +143,7 @@
     auto result = co_await runAttempts();
     m_client->unwatch();
     m_context.demand.onEnd(m_service->name, m_firstEventMilliseconds >= 0);
-    co_return m_isClientDisconnected ? ExchangeResult::Close : result;
+    co_return m_isClientDisconnected ? std::optional(ExchangeResult::Close) : result;
 }
 
 double Exchange::objectiveSecondsLeft() const
@@ -246,7 +265,7 @@
     m_hasCredit = false;
 }
 
-asio::awaitable<ExchangeResult> Exchange::runAttempts()
+asio::awaitable<std::optional<ExchangeResult>> Exchange::runAttempts()
 {
     bool first = true;
     bool wasRefused = false;
@@ -258,6 +277,8 @@
         auto request = endpointRequest();
         if (m_context.options.queueing.enabled && (first || wasRefused) && m_attemptTracker.neverExecuted()) {
             auto refusal = co_await waitForPlace(request, first, wasRefused);
+            if (m_mustStartOver && !m_isClientDisconnected)
+                co_return std::nullopt;
             if (refusal && !m_isClientDisconnected) {
                 if (first)
                     m_context.demand.onRequest(m_service->name, 0);
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -61,8 +61,14 @@
     // Reads prompt parts, token counts, deadline and last event id from the header fields.
     void readRequestFields();
 
-    // Sends the request to one endpoint after another, until one delivers or no retry is allowed.
-    asio::awaitable<ExchangeResult> runAttempts();
+    // Serves the request with the current configuration. Returns nullopt if it has to start over, because the configuration changed while
+    // it waited.
+    asio::awaitable<std::optional<ExchangeResult>> runWithCurrentConfiguration();
+    // Takes back what was recorded for a request that has to start over. It was not executed.
+    void startOver();
+    // Sends the request to one endpoint after another, until one delivers or no retry is allowed. Returns nullopt like
+    // runWithCurrentConfiguration().
+    asio::awaitable<std::optional<ExchangeResult>> runAttempts();
     // Chooses the endpoint for the next attempt and acquires a credit if it advertises a limit. Returns nullopt if there is no such
     // endpoint.
     asio::awaitable<std::optional<ChosenEndpoint>> selectEndpoint(EndpointRequest&);
@@ -124,6 +130,8 @@
     double expectedQueueSeconds(const QueueEntry&, const PlaceCheck&, const EndpointRequest&) const;
     Milliseconds allowedWait(const PlaceCheck&) const;
     std::optional<LocalResponse> checkStay(const QueueWaiter&);
+    // Whether the current configuration no longer gives the request its route, service or team.
+    bool isConfigurationOutdated() const;
     // Waits in the queue if the request cannot be sent now but is expected to get a place in time. Returns a response if it is refused;
     // otherwise `request` selects the endpoints that it may go to. `isFirst`: no attempt was made yet. `wasRefused`: an endpoint has just
     // refused it without executing it.
@@ -189,6 +197,7 @@
     bool m_isInTurn { false };
     long m_retryAfterMilliseconds { -1 }; // The delay that the client was told; -1 if none.
     QueueWaiter* m_waiter { nullptr }; // While the request waits in the queue.
+    bool m_mustStartOver { false }; // The request left the queue because its configuration is outdated.
     long m_queuedMilliseconds { 0 }; // Time spent in the queue.
     long m_queuePlace { 0 }; // Place in the queue when the request entered it; 0 if it did not.
     double m_admissionWork { 0 }; // Result of expectedWork() at the request's arrival; 0 if the shared level is off.
--- a/modules/forward/exchange_queueing.cpp
+++ b/modules/forward/exchange_queueing.cpp
@@ -119,7 +119,7 @@
 }
 
 // The response if the request may not stay in the queue, regardless of free places: it was displaced, the node stops, the request is
-// suspected, or its route, service or key is no longer in the configuration.
+// suspected, or it has to start over with another route, service or team, where the response is not sent.
 std::optional<Exchange::LocalResponse> Exchange::checkStay(const QueueWaiter& waiter)
 {
     if (waiter.isDisplaced)
@@ -128,20 +128,23 @@
         return LocalResponse { .retryAfter = m_context.options.retryAfter, .reason = "no_place" };
     if (!m_context.suspects.maySend(digest(), steadyNow()))
         return withheldResponse();
+    m_mustStartOver = isConfigurationOutdated();
+    if (m_mustStartOver)
+        return LocalResponse { .reason = "configuration_changed" };
+    return std::nullopt;
+}
+
+bool Exchange::isConfigurationOutdated() const
+{
     auto current = m_context.view.configuration();
     if (current == m_configuration)
-        return std::nullopt;
+        return false;
     const auto* route = current->findRoute(m_request.head.value("host"), m_path);
-    if (!route || route->name != m_route->name)
-        return LocalResponse { .status = HttpStatus::notFound, .reason = "no_route" };
-    if (!current->findService(m_service->name))
-        return LocalResponse { .retryAfter = m_context.options.retryAfter, .reason = "no_service" };
+    if (!route || route->name != m_route->name || !current->findService(m_service->name))
+        return true;
     const auto* key = m_request.head.find(m_context.options.names.key);
     const auto* team = key ? current->findTeam(*key) : nullptr;
-    bool isSameTeam = team ? m_team && team->name == m_team->name : !m_team;
-    if (current->needsKeys() && !isSameTeam && !route->isPublic)
-        return LocalResponse { .status = HttpStatus::unauthorized, .reason = "unknown_key" };
-    return std::nullopt;
+    return team ? !m_team || team->name != m_team->name : m_team != nullptr;
 }
 
 // Lets a request that was refused by the endpoints it was sent to wait for these, if they refused because they were full. Returns false if
--- a/tests/entry/test_request_queueing.cpp
+++ b/tests/entry/test_request_queueing.cpp
@@ -135,6 +135,52 @@
     BOOST_TEST((one.received() == std::set<std::string> { "first", "third" }));
 }
 
+// Guards against 404 for a waiting request when a route with a longer prefix is added, or is removed again.
+BOOST_AUTO_TEST_CASE(a_waiting_request_goes_on_when_another_route_matches_it)
+{
+    OneSlotSite one;
+    auto longer = OneSlotSite::declaration(2, "key-a");
+    longer["routes"].push_back(longer["routes"][0]);
+    longer["routes"].back()["name"] = "longer";
+    longer["routes"].back()["pathPrefix"] = "/once/a/";
+    RawClient first(one.node->callers);
+    RawClient second(one.node->callers);
+    one.isHeld = true;
+    first.send(request("POST", "/once/a/", "first"));
+    std::this_thread::sleep_for(Milliseconds(100));
+    second.send(request("POST", "/once/a/", "second"));
+    BOOST_REQUIRE(one.waitQueued(1));
+    for (const auto& it : { longer, OneSlotSite::declaration(3, "key-a") }) {
+        one.site.declare(it);
+        auto version = "\"version\":" + it["version"].dump();
+        BOOST_REQUIRE(one.node->process->waitLine([&](const auto& line) { return line.find("configuration_in_force") != std::string::npos && line.find(version) != std::string::npos; }, Milliseconds(5000)));
+        BOOST_TEST(one.waitQueued(1));
+    }
+    one.isHeld = false;
+    BOOST_TEST(first.read().head.status == HttpStatus::ok);
+    BOOST_TEST(second.read().head.status == HttpStatus::ok);
+    BOOST_TEST(one.endpoint.requests().size() == 2U);
+}
+
+// Guards against 401 for a waiting request when its key passes to another team.
+BOOST_AUTO_TEST_CASE(a_waiting_request_goes_on_under_the_team_that_has_its_key)
+{
+    OneSlotSite one;
+    auto passedOn = OneSlotSite::declaration(2, "key-b");
+    passedOn["tenants"].push_back({ { "name", "team-b" }, { "apiKeys", { "key-a" } }, { "ratePerS", 0 } });
+    RawClient first(one.node->callers);
+    RawClient second(one.node->callers);
+    one.occupyAndWait(first, second);
+    one.site.declare(passedOn);
+    BOOST_REQUIRE(one.node->process->waitLine([](const auto& line) { return line.find("configuration_in_force") != std::string::npos && line.find("\"version\":2") != std::string::npos; }, Milliseconds(5000)));
+    one.isHeld = false;
+    BOOST_TEST(first.read().head.status == HttpStatus::ok);
+    BOOST_TEST(second.read().head.status == HttpStatus::ok);
+    auto requests = one.endpoint.requests();
+    BOOST_REQUIRE(requests.size() == 2U);
+    BOOST_TEST(requests[1].head.value("tenant") == "team-b");
+}
+
 // Guards against requests that run although no client can receive their answer.
 BOOST_AUTO_TEST_CASE(requests_in_the_queue_of_a_killed_node_reach_no_endpoint)
 {
