Forward a 204 on a route for streams without a chunked body

Cause: every success of an endpoint on such a route was taken for an event stream. A status that allows no body is none. The rule stood in the parser and in the relay; it is one function in core/net/http_status.h now.

Measured: the new test fails before (the second answer cannot be read) and passes now.

--- a/core/net/http_parser.cpp
+++ b/core/net/http_parser.cpp
@@ -1,5 +1,6 @@
 #include "core/net/http_parser.h"
 
+#include "core/net/http_status.h"
 #include <algorithm>
 #include <cctype>
 #include <http_parser.h>
@@ -58,9 +59,6 @@
         return true;
     }
 
-    // Such a response has no body, whatever its header fields say (RFC 9112, section 6.3).
-    bool isBodilessStatus(int status) { return status / 100 == 1 || status == 204 || status == 304; }
-
     void trim(std::string& text)
     {
         auto end = text.find_last_not_of(" \t");
@@ -146,7 +144,7 @@
     {
         auto& parser = self(library);
         parser.m_state = HttpParserState::Body;
-        bool isBodiless = parser.m_kind == HttpMessageKind::Response && isBodilessStatus(static_cast<int>(library->status_code));
+        bool isBodiless = parser.m_kind == HttpMessageKind::Response && HttpStatus::allowsNoBody(static_cast<int>(library->status_code));
         return parser.m_noBody || isBodiless ? 1 : 0;
     }
 
@@ -192,7 +190,7 @@
 {
     if (m_noBody || m_kind == HttpMessageKind::Request)
         return false;
-    return !isBodilessStatus(m_head.status) && !m_head.chunked && !m_head.contentLength;
+    return !HttpStatus::allowsNoBody(m_head.status) && !m_head.chunked && !m_head.contentLength;
 }
 
 // Parses the head and the fields that delimit the body. Contradictory or repeated ones make the message malformed. Returns true if the
--- a/core/net/http_status.h
+++ b/core/net/http_status.h
@@ -30,6 +30,9 @@
     return status == requestTimeout || status == misdirected || status == tooManyRequests || status == serviceUnavailable;
 }
 
+// True for status codes of responses that have no body, whatever their header fields say (RFC 9112, section 6.3).
+constexpr bool allowsNoBody(int status) { return status / 100 == 1 || status == noContent || status == notModified; }
+
 // True for status codes by which an endpoint refuses a request because of its own state, not because of the content of the request.
 constexpr bool isRefusalStatus(int status) { return status == tooManyRequests || status == serviceUnavailable; }
 
--- a/modules/forward/exchange_relay.cpp
+++ b/modules/forward/exchange_relay.cpp
@@ -27,7 +27,7 @@
 
 bool Exchange::isEndpointEventStream(const HttpHead& head) const
 {
-    return m_route->kind == RequestKind::Stream && head.status / 100 == 2 && head.find(m_context.options.names.receipt) && !head.find("content-encoding");
+    return m_route->kind == RequestKind::Stream && head.status / 100 == 2 && !HttpStatus::allowsNoBody(head.status) && head.find(m_context.options.names.receipt) && !head.find("content-encoding");
 }
 
 asio::awaitable<AttemptOutcome> Exchange::relayBuffered(EndpointCall& call, const ChosenEndpoint&)
@@ -152,12 +152,11 @@
     }
     if (m_closeAfter || m_context.stopping)
         text += "Connection: close\r\n";
-    bool bodiless = head.status == HttpStatus::noContent || head.status == HttpStatus::notModified;
     if (!length)
         text += "Transfer-Encoding: chunked\r\n";
     else if (m_request.head.method == "HEAD" && head.contentLength)
         text += "Content-Length: " + std::to_string(*head.contentLength) + "\r\n";
-    else if (!bodiless)
+    else if (!HttpStatus::allowsNoBody(head.status))
         text += "Content-Length: " + std::to_string(*length) + "\r\n";
     return text + "\r\n";
 }
--- a/tests/entry/test_forwarding.cpp
+++ b/tests/entry/test_forwarding.cpp
@@ -120,6 +120,20 @@
     }
 }
 
+// Guards against a chunked body, which a 204 cannot have, on a route for streams: the client would find it before its next answer.
+BOOST_AUTO_TEST_CASE(an_answer_without_a_body_on_a_stream_route_is_forwarded_without_one)
+{
+    SingleNodeSite one([](const auto& it) { return Fakes::ScriptedResponse { .bytes = "HTTP/1.1 204 No Content\r\nAttempt-Id: " + std::string(it.head.value("attempt-id")) + "\r\nServer-Stamp: s\r\n\r\n" }; });
+    RawClient caller(one.node.callers);
+    for (const auto* id : { "id-1", "id-2" }) {
+        caller.send(request("POST", "/stream/a", id, "", "x"));
+        auto answer = caller.read();
+        BOOST_TEST(answer.head.status == HttpStatus::noContent);
+        BOOST_TEST(!answer.head.chunked);
+        BOOST_TEST(answer.head.value("attempt-id") == id);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_answer_is_neither_forwarded_nor_retried)
 {
     for (auto ending : { Ending::Close, Ending::Reset }) {
