Limit what the own interface reads from its peers

Cause: cpp-httplib keeps a chunked body of any size and reads a body of any declared length before it refuses it; replies of calls and events of many lines were kept without a limit, and a body that trickles never met the read timeout.

Bodies of requests are read by the server itself, up to the limit and 20 s; after four times the limit the connection is closed with the refusal. Bodies of replies have 16 MiB and four read timeouts, events 16 MiB.

Measured: the new tests fail before (16 MiB and more taken in all three cases of the server, an event of 17 MiB kept) and pass now.

--- a/core/net/http_client.cpp
+++ b/core/net/http_client.cpp
@@ -26,6 +26,9 @@
         return encoded;
     }
 
+    constexpr std::size_t maximumBodyBytes = 16U << 20U;
+    constexpr int maximumBodyReadTimeouts = 4; // Read timeouts that a complete body may take: a server that sends a byte now and then never runs into one.
+
     // If connecting failed, the request cannot have reached the server. After any other failure it may have been executed.
     Error failure(const Address& address, httplib::Error error)
     {
@@ -83,10 +86,19 @@
 {
     httplib::Client client(address.host, address.port);
     configure(client, call);
-    auto result = client.send(toLibrary(call));
+    auto request = toLibrary(call);
+    std::string body;
+    auto deadline = steadyNow() + call.connectTimeout + maximumBodyReadTimeouts * call.readTimeout;
+    request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
+        body.append(data, size);
+        return body.size() <= maximumBodyBytes && steadyNow() < deadline;
+    };
+    auto result = client.send(request);
     if (!result)
         return failure(address, result.error());
-    return fromLibrary(*result);
+    auto reply = fromLibrary(*result);
+    reply.body = std::move(body);
+    return reply;
 }
 
 struct HttpStream::Implementation {
--- a/core/net/http_client.h
+++ b/core/net/http_client.h
@@ -17,7 +17,7 @@
     std::string body {};
     std::string contentType { "application/json" };
     Milliseconds connectTimeout { 500 };
-    Milliseconds readTimeout { 2000 }; // Maximum time without receiving data; not a limit for the complete response.
+    Milliseconds readTimeout { 2000 }; // Maximum time without receiving data; sendHttp() allows a few times as much for the complete body.
 };
 
 struct HttpReply {
@@ -36,7 +36,8 @@
 // Appends the query to the path; names and values are percent-encoded (RFC 3986).
 std::string pathWithQuery(const std::string& path, const std::map<std::string, std::string>& query);
 
-// Errors: Unavailable if the connection could not be established, so that no byte was sent; Ambiguous in all other cases.
+// Errors: Unavailable if the connection could not be established, so that no byte was sent; Ambiguous in all other cases, also if the body is
+// larger than 16 MiB or takes too long.
 Result<HttpReply> sendHttp(const Address&, const HttpCall&);
 
 // An HTTP call whose response body is processed as it arrives, and which can be cancelled from another thread.
--- a/core/net/http_server.cpp
+++ b/core/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "core/net/http_server.h"
 
+#include "core/net/http_status.h"
 #include "core/text.h"
 #include <httplib.h>
 #include <thread>
@@ -16,6 +17,42 @@
     // HttpResponse::releasedWhenWritten of the response that this thread is writing. The library uses one thread per connection.
     thread_local std::shared_ptr<void> resourceUntilWritten;
 
+    // Parts of the size limit of a body that are read and discarded so that its sender, who may read nothing before, gets the response.
+    constexpr std::size_t discardedLimits = 4;
+
+    enum class BodyResult {
+        Complete,
+        Refused, // Too large, but read to its end.
+        Endless, // Not read to its end: the connection has to be closed.
+    };
+
+    // Reads the body of a request into `body`. The library alone would keep a chunked body of any size.
+    BodyResult readBody(const httplib::ContentReader& read, const HttpServerOptions& options, std::string& body)
+    {
+        std::size_t size = 0;
+        auto deadline = steadyNow() + options.bodyTimeout;
+        bool isComplete = read([&](const char* data, std::size_t n) {
+            size += n;
+            if (size <= options.maximumBodyBytes)
+                body.append(data, n);
+            return size <= discardedLimits * options.maximumBodyBytes && steadyNow() < deadline;
+        });
+        if (!isComplete)
+            return BodyResult::Endless;
+        return size <= options.maximumBodyBytes ? BodyResult::Complete : BodyResult::Refused;
+    }
+
+    // The library closes a connection only if it cannot write a response, so this response fails after its last byte.
+    void refuseAndClose(httplib::Response& response)
+    {
+        static constexpr std::string_view text = "body too large\n";
+        response.status = HttpStatus::bodyTooLarge;
+        response.set_content_provider(text.size(), "text/plain", [](std::size_t, std::size_t, httplib::DataSink& sink) {
+            sink.write(text.data(), text.size());
+            return false;
+        });
+    }
+
     HttpRequest fromLibrary(const httplib::Request& source)
     {
         HttpRequest request { .method = source.method, .path = source.path, .query = {}, .headers = {}, .body = source.body, .captures = {} };
@@ -68,6 +105,13 @@
     server.set_read_timeout(options.readTimeout);
     server.set_write_timeout(options.writeTimeout);
     server.set_payload_max_length(options.maximumBodyBytes);
+    // The library would read and discard a body of any declared length that is too large before it responds.
+    server.set_pre_routing_handler([limit = discardedLimits * options.maximumBodyBytes](const httplib::Request& request, httplib::Response& response) {
+        if (request.get_header_value<std::uint64_t>("Content-Length") <= limit)
+            return httplib::Server::HandlerResponse::Unhandled;
+        refuseAndClose(response);
+        return httplib::Server::HandlerResponse::Handled;
+    });
     // The library calls the logger after it has written the response.
     server.set_logger([](const httplib::Request&, const httplib::Response&) { resourceUntilWritten.reset(); });
     // Replaces the default of the library, which also sets SO_REUSEPORT and would let two processes listen on the same port unnoticed.
@@ -82,13 +126,25 @@
 
 void HttpServer::route(const std::string& method, const std::string& pattern, Handler handler)
 {
-    auto adapter = [handler = std::move(handler)](const httplib::Request& request, httplib::Response& response) {
-        toLibrary(handler(fromLibrary(request)), response);
-    };
     auto& server = m_implementation->server;
-    if (method == "GET")
-        server.Get(pattern, adapter);
-    else if (method == "POST")
+    if (method == "GET") {
+        server.Get(pattern, [handler = std::move(handler)](const httplib::Request& request, httplib::Response& response) { toLibrary(handler(fromLibrary(request)), response); });
+        return;
+    }
+    auto adapter = [handler = std::move(handler), &options = m_implementation->options](const httplib::Request& request, httplib::Response& response, const httplib::ContentReader& read) {
+        auto received = fromLibrary(request);
+        auto result = readBody(read, options, received.body);
+        if (result == BodyResult::Endless) {
+            refuseAndClose(response);
+            return;
+        }
+        if (result == BodyResult::Refused) {
+            toLibrary({ .status = HttpStatus::bodyTooLarge }, response);
+            return;
+        }
+        toLibrary(handler(received), response);
+    };
+    if (method == "POST")
         server.Post(pattern, adapter);
     else if (method == "PUT")
         server.Put(pattern, adapter);
@@ -98,6 +154,9 @@
 
 Status HttpServer::start()
 {
+    // Without a handler, the library would read a body before it answers.
+    for (const auto* method : { "POST", "PUT", "DELETE" })
+        route(method, ".*", [](const HttpRequest&) { return HttpResponse { .status = HttpStatus::notFound }; });
     auto& options = m_implementation->options;
     auto& server = m_implementation->server;
     int port = options.port;
--- a/core/net/http_server.h
+++ b/core/net/http_server.h
@@ -13,7 +13,10 @@
     std::string host { "127.0.0.1" };
     std::uint16_t port { 0 }; // 0 selects any free port.
     unsigned threads { 64 }; // Maximum number of connections served concurrently.
-    std::size_t maximumBodyBytes { 4U << 20U }; // Requests with a larger body are answered with status 413.
+    // Requests with a larger body are answered with status 413. If it is several times as large, or takes longer than `bodyTimeout`, the
+    // connection is closed with that.
+    std::size_t maximumBodyBytes { 4U << 20U };
+    Milliseconds bodyTimeout { 20000 };
     Milliseconds readTimeout { 5000 }; // A connection on which no data arrives for this long during a request is closed.
     Milliseconds writeTimeout { 5000 };
 };
--- a/core/net/server_sent_events.cpp
+++ b/core/net/server_sent_events.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-    constexpr std::size_t maximumLineBytes = 16U << 20U;
+    constexpr std::size_t maximumEventBytes = 16U << 20U;
 
 } // namespace
 
@@ -15,18 +15,20 @@
 
 bool ServerSentEventParser::feed(std::string_view bytes)
 {
+    auto searchedBytes = m_buffer.size();
     m_buffer.append(bytes);
     std::size_t begin = 0;
-    for (auto end = m_buffer.find('\n'); end != std::string::npos; end = m_buffer.find('\n', begin)) {
+    for (auto end = m_buffer.find('\n', searchedBytes); end != std::string::npos; end = m_buffer.find('\n', begin)) {
         std::string_view line(m_buffer.data() + begin, end - begin);
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
+        m_eventBytes = line.empty() ? 0 : m_eventBytes + line.size();
         begin = end + 1;
         if (!processLine(line))
             return false;
     }
     m_buffer.erase(0, begin);
-    return m_buffer.size() <= maximumLineBytes;
+    return m_eventBytes + m_buffer.size() <= maximumEventBytes;
 }
 
 bool ServerSentEventParser::processLine(std::string_view line)
--- a/core/net/server_sent_events.h
+++ b/core/net/server_sent_events.h
@@ -23,14 +23,15 @@
 
     explicit ServerSentEventParser(Receiver);
 
-    // Returns false if the receiver stopped, or a line is longer than 16 MiB.
+    // Returns false if the receiver stopped, or an event is larger than 16 MiB.
     bool feed(std::string_view bytes);
 
 private:
     bool processLine(std::string_view line);
 
     Receiver m_receiver;
-    std::string m_buffer {};
+    std::string m_buffer {}; // An incomplete line.
+    std::size_t m_eventBytes { 0 }; // Of the complete lines of the event that is being read.
     ServerSentEvent m_event;
     bool m_hasData { false };
 };
--- a/tests/core/net/test_http_server.cpp
+++ b/tests/core/net/test_http_server.cpp
@@ -45,4 +45,35 @@
     BOOST_TEST(weakToken.expired());
 }
 
+// Guards against bodies that the library reads to their end, however long they are: chunked, declared too long, and without a handler.
+BOOST_AUTO_TEST_CASE(a_body_without_end_is_refused_at_its_size_limit)
+{
+    constexpr std::size_t limit = 1U << 20U;
+    constexpr std::size_t maximumSent = 16 * limit;
+    HttpServer server({ .maximumBodyBytes = limit });
+    unsigned handled = 0;
+    server.route("POST", "/a", [&](const HttpRequest&) {
+        ++handled;
+        return HttpResponse {};
+    });
+    BOOST_REQUIRE(server.start());
+    for (const auto* head : { "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n", "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 900000000000\r\n\r\n", "POST /other HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" }) {
+        BOOST_TEST_CONTEXT(head)
+        {
+            asio::io_context context;
+            asio::ip::tcp::socket socket(context);
+            socket.connect({ asio::ip::make_address(server.address().host), server.address().port });
+            asio::write(socket, asio::buffer(std::string(head)));
+            const std::string chunk = "10000\r\n" + std::string(65536, 'x') + "\r\n";
+            asio::error_code ec;
+            std::size_t sent = 0;
+            while (!ec && sent < maximumSent)
+                sent += asio::write(socket, asio::buffer(chunk), ec);
+            BOOST_TEST(sent < maximumSent);
+        }
+    }
+    BOOST_TEST(handled == 0U);
+    server.stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/net/test_server_sent_events.cpp
+++ b/tests/core/net/test_server_sent_events.cpp
@@ -35,4 +35,18 @@
     BOOST_CHECK_EQUAL(seen, 1);
 }
 
+// Guards against a fault where an event of many lines without end was kept without a limit.
+BOOST_AUTO_TEST_CASE(an_event_without_end_is_refused)
+{
+    constexpr std::size_t maximumBytes = 17U << 20U;
+    const std::string line = "data: " + std::string(65536, 'x');
+    for (const auto& end : { std::string("\n"), std::string() }) {
+        ServerSentEventParser parser([](const ServerSentEvent&) { return true; });
+        std::size_t fed = 0;
+        while (fed < maximumBytes && parser.feed(line + end))
+            fed += line.size();
+        BOOST_TEST(fed < maximumBytes);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
