--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -78,6 +78,14 @@
     void releaseCredit(const EndpointIncarnation&);
     asio::awaitable<AttemptOutcome> runAttempt(const ChosenEndpoint&);
     asio::awaitable<AttemptOutcome> callEndpoint(EndpointCall&, const ChosenEndpoint&);
+    // What was received of an event stream since the read before.
+    struct ReceivedEvents {
+        std::string bytes {}; // The complete events.
+        bool isBroken { false }; // After these events, the stream is not what an endpoint may send, or broke off within an event.
+        bool isLast { false }; // The stream is complete.
+    };
+    // Takes the complete events from the response. `pending` keeps an incomplete event until the next call.
+    ReceivedEvents takeEvents(EndpointCall&, std::string& pending);
     // Passes events on as they arrive. Once a part is passed on, the stream can only be resumed, not repeated.
     asio::awaitable<AttemptOutcome> relayStream(EndpointCall&, const ChosenEndpoint&);
     // Outcome of an attempt whose event stream failed.
--- a/modules/forward/exchange_relay.cpp
+++ b/modules/forward/exchange_relay.cpp
@@ -58,10 +58,22 @@
 
 AttemptOutcome Exchange::streamFailure() const { return m_streamStarted ? AttemptOutcome::StreamBroken : AttemptOutcome::MayHaveRun; }
 
+Exchange::ReceivedEvents Exchange::takeEvents(EndpointCall& call, std::string& pending)
+{
+    ReceivedEvents received;
+    pending += call.body();
+    call.body().clear();
+    auto check = m_events.take(pending, received.bytes);
+    if (check == EventStreamCheck::TooLarge)
+        m_context.metrics.increment("onyxnotch_entry_oversized_responses_total", { { "part", "event" } });
+    received.isBroken = check != EventStreamCheck::Sound || (call.isComplete() && !pending.empty());
+    received.isLast = call.isComplete() && !received.isBroken;
+    return received;
+}
+
 asio::awaitable<AttemptOutcome> Exchange::relayStream(EndpointCall& call, const ChosenEndpoint& chosen)
 {
     std::string pending;
-    std::string ready;
     bool first = true;
     bool isWriteSlow = false;
     m_pauses.onAttempt();
@@ -69,17 +81,10 @@
     while (true) {
         auto receivedAt = steadyNow();
         auto earlierEvents = m_events.events();
-        pending += call.body();
-        call.body().clear();
-        ready.clear();
-        auto check = m_events.take(pending, ready);
-        if (check == EventStreamCheck::TooLarge)
-            m_context.metrics.increment("onyxnotch_entry_oversized_responses_total", { { "part", "event" } });
-        bool isBroken = check != EventStreamCheck::Sound || (call.isComplete() && !pending.empty());
-        bool last = call.isComplete() && !isBroken;
+        auto received = takeEvents(call, pending);
         // Events before a break are passed on too: the stream is resumed after the last one that was taken.
         std::string bytes;
-        if (!ready.empty() || last) {
+        if (!received.bytes.empty() || received.isLast) {
             if (first)
                 recordFirstEvent(chosen);
             first = false;
@@ -87,17 +92,17 @@
             if (!m_streamStarted)
                 bytes = responseHead(call.head(), std::nullopt);
             m_streamStarted = true;
-            if (!ready.empty())
-                bytes += chunk(ready);
+            if (!received.bytes.empty())
+                bytes += chunk(received.bytes);
         }
-        if (last)
+        if (received.isLast)
             bytes += lastChunk;
         if (!bytes.empty() && !co_await writeToClient(bytes))
             co_return AttemptOutcome::CallerLeft;
         isWriteSlow = steadyNow() - receivedAt > slowWrite;
-        if (last)
+        if (received.isLast)
             break;
-        if (isBroken)
+        if (received.isBroken)
             co_return streamFailure();
         auto status = co_await call.readBody();
         if (status == CallStatus::TimedOut)
