--- a/core/net/http_client.cpp
+++ b/core/net/http_client.cpp
@@ -27,7 +27,8 @@
     }
 
     constexpr std::size_t maximumBodyBytes = 16U << 20U;
-    constexpr int maximumBodyReadTimeouts = 4; // Read timeouts that a complete body may take: a server that sends a byte now and then never runs into one.
+    // Read timeouts that a complete body may take. A server that sends a byte now and then never runs into a single one.
+    constexpr int maximumBodyReadTimeouts = 4;
 
     // If connecting failed, the request cannot have reached the server. After any other failure it may have been executed.
     Error failure(const Address& address, httplib::Error error)
--- a/core/net/http_server.cpp
+++ b/core/net/http_server.cpp
@@ -17,8 +17,8 @@
     // HttpResponse::releasedWhenWritten of the response that this thread is writing. The library uses one thread per connection.
     thread_local std::shared_ptr<void> resourceUntilWritten;
 
-    // Parts of the size limit of a body that are read and discarded so that its sender, who may read nothing before, gets the response.
-    constexpr std::size_t discardedLimits = 4;
+    // A body of up to this many times the size limit is read and discarded, so that a sender that reads nothing before gets the refusal.
+    constexpr std::size_t maximumDiscardFactor = 4;
 
     enum class BodyResult {
         Complete,
@@ -35,7 +35,7 @@
             size += n;
             if (size <= options.maximumBodyBytes)
                 body.append(data, n);
-            return size <= discardedLimits * options.maximumBodyBytes && steadyNow() < deadline;
+            return size <= maximumDiscardFactor * options.maximumBodyBytes && steadyNow() < deadline;
         });
         if (!isComplete)
             return BodyResult::Endless;
@@ -106,7 +106,7 @@
     server.set_write_timeout(options.writeTimeout);
     server.set_payload_max_length(options.maximumBodyBytes);
     // The library would read and discard a body of any declared length that is too large before it responds.
-    server.set_pre_routing_handler([limit = discardedLimits * options.maximumBodyBytes](const httplib::Request& request, httplib::Response& response) {
+    server.set_pre_routing_handler([limit = maximumDiscardFactor * options.maximumBodyBytes](const httplib::Request& request, httplib::Response& response) {
         if (request.get_header_value<std::uint64_t>("Content-Length") <= limit)
             return httplib::Server::HandlerResponse::Unhandled;
         refuseAndClose(response);
