--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -7,6 +7,7 @@
 #include "tests/fakes/own_loopback.h"
 #include <asio.hpp>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <poll.h>
 #include <thread>
@@ -55,8 +56,8 @@
     {
         stop();
         m_thread.join();
-        for (auto& it : m_workers)
-            it.join();
+        for (auto& [number, worker] : m_workers)
+            worker.join();
     }
 
     ScriptedEndpoint(const ScriptedEndpoint&) = delete;
@@ -111,9 +112,19 @@
             std::lock_guard lock(m_mutex);
             if (ec || m_stopped)
                 return;
+            joinFinishedWorkers();
             m_sockets.push_back(socket);
             auto number = static_cast<unsigned>(m_sockets.size());
-            m_workers.emplace_back([this, socket, number] { serve(*socket, number); });
+            m_workers.emplace(number, [this, socket, number] { serve(*socket, number); });
+        }
+    }
+
+    // A finished thread keeps its stack until it is joined, and there may be tens of thousands of connections.
+    void joinFinishedWorkers()
+    {
+        for (auto number : std::exchange(m_finishedWorkers, {})) {
+            m_workers.at(number).join();
+            m_workers.erase(number);
         }
     }
 
@@ -152,6 +163,7 @@
         std::lock_guard lock(m_mutex);
         asio::error_code ec;
         socket.close(ec);
+        m_finishedWorkers.push_back(number);
     }
 
     static void flood(Socket& socket, const ScriptedResponse& response)
@@ -206,7 +218,8 @@
     unsigned m_closedByPeer { 0 };
     std::vector<ReceivedRequest> m_requests {};
     std::vector<std::shared_ptr<Socket>> m_sockets {};
-    std::vector<std::thread> m_workers {};
+    std::map<unsigned, std::thread> m_workers {}; // By the number of their connection.
+    std::vector<unsigned> m_finishedWorkers {};
     std::thread m_thread;
 };
 
