Measure how old changes of endpoints are when a node acts on them

Change: an endpoint page says when each change was read from the store, by the serving node's steady clock, which a response field states; the age is passed on from node to node. New metric onyxnotch_entry_endpoint_change_age_seconds, fields and events age_ms, endpoints_held, store_not_reached; gauges for who watches the store and who relays.

--- a/core/clock.h
+++ b/core/clock.h
@@ -59,4 +59,7 @@
     return std::chrono::duration_cast<Milliseconds>(duration);
 }
 
+// A time by the steady clock in milliseconds since the clock's origin, which is different on each instance.
+inline std::int64_t steadyMilliseconds(SteadyTime at) { return toMilliseconds(at.time_since_epoch()).count(); }
+
 } // namespace Onyxnotch
--- a/core/net/http_server.cpp
+++ b/core/net/http_server.cpp
@@ -2,6 +2,8 @@
 
 #include "core/net/http_status.h"
 #include "core/text.h"
+// Connections that wait to be accepted. The library's default of 5 loses connections when a fleet connects at once, each for a second.
+#define CPPHTTPLIB_LISTEN_BACKLOG 1024
 #include <httplib.h>
 #include <thread>
 
--- a/modules/control/endpoint_history.cpp
+++ b/modules/control/endpoint_history.cpp
@@ -2,6 +2,7 @@
 
 #include "core/digest.h"
 #include <algorithm>
+#include <limits>
 
 namespace Onyxnotch {
 
@@ -16,6 +17,17 @@
 
     std::uint64_t hashOfEntry(const std::string& id, const std::string& text) { return fastHash(id + text); }
 
+    // The time at which a change was read from the store, from a page's member with these times; SteadyTime {} if it is not known.
+    SteadyTime readTimeOf(const nlohmann::json& page, const std::string& id, const std::optional<PeerClock>& clock)
+    {
+        auto times = page.find("read_at");
+        if (!clock || times == page.end() || !times->is_object())
+            return {};
+        auto it = times->find(id);
+        bool isNumber = it != times->end() && it->is_number_integer() && (!it->is_number_unsigned() || it->get<std::uint64_t>() <= std::numeric_limits<std::int64_t>::max());
+        return isNumber ? clock->toLocal(it->get<std::int64_t>()) : SteadyTime {};
+    }
+
     bool hasUnsignedNumber(const nlohmann::json& page, const char* name) { return page.value(name, nlohmann::json()).is_number_unsigned(); }
 
     bool isWellFormedPage(const nlohmann::json& page)
@@ -39,21 +51,29 @@
     auto& known = m_entries[id];
     m_digest ^= known.hash ^ entry.hash;
     known = std::move(entry);
-    m_removedAt.erase(id);
+    m_removals.erase(id);
     m_largestSize = std::max(m_largestSize, m_entries.size());
 }
 
-void EndpointHistory::remove(const std::string& id, std::uint64_t revision)
+void EndpointHistory::remove(const std::string& id, const Removal& removal)
 {
     auto it = m_entries.find(id);
     if (it == m_entries.end())
         return;
     m_digest ^= it->second.hash;
     m_entries.erase(it);
-    m_removedAt[id] = revision;
+    m_removals[id] = removal;
 }
 
-void EndpointHistory::take(const std::map<std::string, StoreObject>& objects, std::uint64_t revision)
+std::optional<SteadyTime> EndpointHistory::removalReadAt(const std::string& id) const
+{
+    auto it = m_removals.find(id);
+    if (it == m_removals.end() || it->second.readAt == SteadyTime {})
+        return std::nullopt;
+    return it->second.readAt;
+}
+
+void EndpointHistory::take(const std::map<std::string, StoreObject>& objects, std::uint64_t revision, SteadyTime readAt)
 {
     advanceTo(revision);
     for (const auto& [id, object] : objects) {
@@ -66,7 +86,7 @@
         if (isKnown && known->second.hash == hash)
             known->second.storeRevision = object.revision;
         else
-            put(id, { .text = std::move(text), .hash = hash, .changedAt = revision, .storeRevision = object.revision });
+            put(id, { .text = std::move(text), .hash = hash, .changedAt = revision, .storeRevision = object.revision, .readAt = readAt });
     }
     std::vector<std::string> removed;
     for (const auto& [id, entry] : m_entries) {
@@ -74,24 +94,24 @@
             removed.push_back(id);
     }
     for (const auto& id : removed)
-        remove(id, revision);
+        remove(id, { .revision = revision, .readAt = readAt });
     dropOldestRemovals();
 }
 
-void EndpointHistory::take(const nlohmann::json& values, std::uint64_t revision)
+void EndpointHistory::take(const nlohmann::json& values, std::uint64_t revision, SteadyTime readAt)
 {
     std::map<std::string, StoreObject> objects;
     for (const auto& [id, value] : values.items())
         objects[id] = { .name = id, .value = value };
-    take(objects, revision);
+    take(objects, revision, readAt);
 }
 
 void EndpointHistory::dropOldestRemovals()
 {
-    while (m_removedAt.size() > std::max(minRemembered, m_largestSize)) {
-        auto oldest = std::min_element(m_removedAt.begin(), m_removedAt.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
-        m_changesKnownSince = std::max(m_changesKnownSince, oldest->second);
-        m_removedAt.erase(oldest);
+    while (m_removals.size() > std::max(minRemembered, m_largestSize)) {
+        auto oldest = std::min_element(m_removals.begin(), m_removals.end(), [](const auto& left, const auto& right) { return left.second.revision < right.second.revision; });
+        m_changesKnownSince = std::max(m_changesKnownSince, oldest->second.revision);
+        m_removals.erase(oldest);
     }
 }
 
@@ -103,25 +123,36 @@
     return values;
 }
 
+// A complete page states the times of all removals that are remembered, as the receiver may still list these endpoints, but not those of
+// its entries: most of them are old, and there are thousands.
 nlohmann::json EndpointHistory::pageSince(std::uint64_t revision) const
 {
-    nlohmann::json page { { "revision", m_revision }, { "digest", m_digest }, { "whole", false }, { "endpoints", nlohmann::json::object() }, { "gone", nlohmann::json::array() } };
+    nlohmann::json page { { "revision", m_revision }, { "digest", m_digest }, { "whole", false }, { "endpoints", nlohmann::json::object() }, { "gone", nlohmann::json::array() },
+        { "read_at", nlohmann::json::object() } };
     bool isComplete = revision < m_changesKnownSince || revision == 0;
     page["whole"] = isComplete;
+    auto addReadTime = [&](const std::string& id, SteadyTime readAt) {
+        if (readAt != SteadyTime {})
+            page["read_at"][id] = steadyMilliseconds(readAt);
+    };
     for (const auto& [id, entry] : m_entries) {
-        if (isComplete || entry.changedAt > revision)
-            page["endpoints"][id] = nlohmann::json::parse(entry.text);
+        if (!isComplete && entry.changedAt <= revision)
+            continue;
+        page["endpoints"][id] = nlohmann::json::parse(entry.text);
+        if (!isComplete)
+            addReadTime(id, entry.readAt);
     }
-    if (isComplete)
-        return page;
-    for (const auto& [id, at] : m_removedAt) {
-        if (at > revision)
+    for (const auto& [id, removal] : m_removals) {
+        if (!isComplete && removal.revision <= revision)
+            continue;
+        if (!isComplete)
             page["gone"].push_back(id);
+        addReadTime(id, removal.readAt);
     }
     return page;
 }
 
-EndpointHistory::PageChanges EndpointHistory::changesFrom(const nlohmann::json& page, std::uint64_t revision) const
+EndpointHistory::PageChanges EndpointHistory::changesFrom(const nlohmann::json& page, std::uint64_t revision, const std::optional<PeerClock>& clock) const
 {
     PageChanges change { .digest = m_digest };
     auto knownHash = [&](const std::string& id) {
@@ -134,11 +165,11 @@
         if (hash == knownHash(id))
             continue;
         change.digest ^= hash ^ knownHash(id);
-        change.written[id] = { .text = std::move(text), .hash = hash, .changedAt = revision };
+        change.written[id] = { .text = std::move(text), .hash = hash, .changedAt = revision, .readAt = readTimeOf(page, id, clock) };
     }
     auto addRemoval = [&](const std::string& id) {
         change.digest ^= knownHash(id);
-        change.removed.push_back(id);
+        change.removed[id] = { .revision = revision, .readAt = readTimeOf(page, id, clock) };
     };
     if (page["whole"].get<bool>()) {
         for (const auto& [id, entry] : m_entries) {
@@ -154,14 +185,14 @@
     return change;
 }
 
-Result<bool> EndpointHistory::apply(const nlohmann::json& page)
+Result<bool> EndpointHistory::apply(const nlohmann::json& page, const std::optional<PeerClock>& clock)
 {
     if (!isWellFormedPage(page))
         return Error { ErrorCode::InvalidArgument, "malformed endpoint page" };
     auto revision = page["revision"].get<std::uint64_t>();
     if (revision <= m_revision)
         return false;
-    auto change = changesFrom(page, revision);
+    auto change = changesFrom(page, revision, clock);
     // The digests differ if this node has an entry that was added and removed between two revisions that the other node has seen.
     if (change.digest != page["digest"].get<std::uint64_t>()) {
         m_needsAllEntries = true;
@@ -170,8 +201,8 @@
     advanceTo(revision);
     for (auto& [id, entry] : change.written)
         put(id, std::move(entry));
-    for (const auto& id : change.removed)
-        remove(id, revision);
+    for (const auto& [id, removal] : change.removed)
+        remove(id, removal);
     dropOldestRemovals();
     return true;
 }
--- a/modules/control/endpoint_registry.cpp
+++ b/modules/control/endpoint_registry.cpp
@@ -5,6 +5,17 @@
 
 namespace Onyxnotch {
 
+std::string_view nameOf(HoldCause cause)
+{
+    switch (cause) {
+    case HoldCause::StoreOutage:
+        return "store_outage";
+    case HoldCause::RemovedTogether:
+        return "removed_together";
+    }
+    return "";
+}
+
 // Whether endpoints may still be renewing their entries after a store outage. The time is counted from the last failed store call, not from
 // when an entry is found missing: an entry that vanishes after that time is removed immediately.
 bool EndpointRegistry::isRecovering(SteadyTime lastStoreFailure, SteadyTime now) const
@@ -60,7 +71,7 @@
         remove(it, now);
 }
 
-void EndpointRegistry::update(const std::map<std::string, ListedEndpoint>& entries, SteadyTime lastStoreFailure, SteadyTime now, Milliseconds age, const std::set<std::string>& unreadableIds)
+std::optional<EndpointHold> EndpointRegistry::update(const std::map<std::string, ListedEndpoint>& entries, SteadyTime lastStoreFailure, SteadyTime now, Milliseconds age, const std::set<std::string>& unreadableIds)
 {
     ++m_listRevision;
     for (const auto& id : unreadableIds) {
@@ -70,6 +81,7 @@
     bool isAfterOutage = isRecovering(lastStoreFailure, now);
     bool isMassRemoval = countNewlyMissing(entries) >= m_options.massRemovalCount;
     auto listedUntil = isAfterOutage ? lastStoreFailure + m_options.entryRenewalTime : now + m_options.massRemovalHold - std::min(age, m_options.massRemovalHold);
+    EndpointHold hold { .cause = isAfterOutage ? HoldCause::StoreOutage : HoldCause::RemovedTogether, .until = listedUntil };
     for (auto it = m_entries.begin(); it != m_entries.end();) {
         if (entries.contains(it->first)) {
             m_missingUntil.erase(it->first);
@@ -77,7 +89,7 @@
             continue;
         }
         if (isAfterOutage || isMassRemoval)
-            m_missingUntil.try_emplace(it->first, listedUntil);
+            hold.endpoints += m_missingUntil.try_emplace(it->first, listedUntil).second ? 1 : 0;
         if (m_missingUntil.contains(it->first))
             ++it;
         else
@@ -89,6 +101,7 @@
             accept(entry);
     }
     std::erase_if(m_removedIncarnations, [&](const auto& it) { return now - it.second.removedAt > m_options.incarnationRetention; });
+    return hold.endpoints > 0 ? std::optional(hold) : std::nullopt;
 }
 
 bool EndpointRegistry::expire(SteadyTime lastStoreFailure, SteadyTime now)
--- a/modules/control/endpoint_registry.h
+++ b/modules/control/endpoint_registry.h
@@ -6,7 +6,9 @@
 #include "core/clock.h"
 #include "modules/traffic/endpoint_list.h"
 #include <map>
+#include <optional>
 #include <set>
+#include <string_view>
 
 namespace Onyxnotch {
 
@@ -26,6 +28,23 @@
     Milliseconds incarnationRetention { 60000 };
 };
 
+// Why endpoints without an entry stay listed.
+enum class HoldCause {
+    StoreOutage, // A call to the store failed recently.
+    RemovedTogether, // Several entries vanished in one update.
+};
+
+std::string_view nameOf(HoldCause);
+
+// Endpoints whose entries an update found missing and that stay listed for now.
+struct EndpointHold {
+    std::size_t endpoints { 0 };
+    HoldCause cause { HoldCause::RemovedTogether };
+    SteadyTime until {};
+
+    bool operator==(const EndpointHold&) const = default;
+};
+
 class EndpointRegistry {
 public:
     explicit EndpointRegistry(const EndpointRegistryOptions& options = {})
@@ -36,8 +55,9 @@
     // Replaces the entries with `entries`, the store's current ones. `lastStoreFailure` is when a store call of this node last failed.
     // `age` is how long ago the entries were read, if they were received from another node: the hold for a mass removal is shortened by it,
     // so that a removal takes effect in time on nodes that receive it late. Without this, the slowest of 77 nodes applied a removal after
-    // 3.09 s. Endpoints whose id is in `unreadableIds`, because their entry could not be read, are removed immediately.
-    void update(const std::map<std::string, ListedEndpoint>& entries, SteadyTime lastStoreFailure, SteadyTime now, Milliseconds age = Milliseconds(0), const std::set<std::string>& unreadableIds = {});
+    // 3.09 s. Endpoints whose id is in `unreadableIds`, because their entry could not be read, are removed immediately. Returns the hold that
+    // the update has started, if any.
+    std::optional<EndpointHold> update(const std::map<std::string, ListedEndpoint>& entries, SteadyTime lastStoreFailure, SteadyTime now, Milliseconds age = Milliseconds(0), const std::set<std::string>& unreadableIds = {});
     // Removes missing endpoints whose time has expired, and accepts entries of earlier incarnations that persisted too long to be delayed
     // writes. Returns whether the list changed.
     bool expire(SteadyTime lastStoreFailure, SteadyTime now);
--- a/modules/control/list_change.cpp
+++ b/modules/control/list_change.cpp
@@ -36,7 +36,7 @@
     auto leaving = std::count_if(change.updated.begin(), change.updated.end(), [](const auto& it) { return it.leaving; });
     logEvent(LogLevel::Info, "endpoints_changed",
         { { "source", origin.source }, { "revision", origin.revision }, { "endpoints", list.endpoints.size() }, { "new", static_cast<long>(change.updated.size()) - leaving },
-            { "leaving", leaving }, { "gone", change.removed.size() } });
+            { "leaving", leaving }, { "gone", change.removed.size() }, { "age_ms", origin.age.count() } });
     if (!origin.readsStore || change.updated.size() + change.removed.size() > maxEndpointLines)
         return;
     for (const auto& it : change.updated) {
--- a/modules/control/list_change.h
+++ b/modules/control/list_change.h
@@ -22,6 +22,7 @@
     std::string_view source {}; // Where the list was received from: "store" or "peer".
     std::uint64_t revision { 0 }; // Of the store, as of the list.
     bool readsStore { false }; // This node follows the store itself instead of receiving lists from peers.
+    Milliseconds age { 0 }; // Since a node read the oldest of the changes from the store.
 };
 
 // Logs one line with counts. Nodes that read the store themselves also log a line for each endpoint; when every node of a fleet of 295 did
--- a/modules/control/peer_pages.cpp
+++ b/modules/control/peer_pages.cpp
@@ -22,7 +22,22 @@
     constexpr std::size_t maxCachedPages = 16; // Enough because requesting nodes have one of the last few revisions.
     constexpr std::size_t maxClients = 4; // For the two relay nodes of this node's zone, and for their replacements.
 
-    HttpResponse compressedResponse(const std::string& bytes) { return { .headers = { { "Content-Encoding", encoding } }, .body = bytes }; }
+    constexpr auto clockField = "Steady-Clock-Ms"; // The serving node's steady clock when it answered.
+
+    HttpResponse compressedResponse(const std::string& bytes)
+    {
+        return { .headers = { { "Content-Encoding", encoding }, { clockField, std::to_string(steadyMilliseconds(steadyNow())) } }, .body = bytes };
+    }
+
+    std::optional<PeerClock> parseClock(const HttpHead& head, SteadyTime requestedAt)
+    {
+        auto text = head.value(clockField);
+        std::int64_t milliseconds = 0;
+        auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+        if (ec != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return PeerClock { .requestedAt = requestedAt, .peerMilliseconds = milliseconds };
+    }
 
     // Returns 0 if the text is not a number, so that all endpoints are returned.
     std::uint64_t parseRevision(std::string_view text)
@@ -77,21 +92,27 @@
     return m_clients.back();
 }
 
-asio::awaitable<nlohmann::json> PeerPageClient::fetch(Address peer, std::string path, Milliseconds timeout)
+asio::awaitable<EndpointPage> PeerPageClient::fetch(Address peer, std::string path, Milliseconds timeout)
 {
     auto client = clientFor(peer);
     AsyncHttpCall call { .target = path, .timeout = timeout, .maximumReplyBytes = maxCompressedSize };
+    auto requestedAt = steadyNow();
     auto reply = co_await client->call(call);
     if (!reply || !reply.value().ok()) {
         logEvent(LogLevel::Info, "peer_page_missed", { { "peer", peer.text() }, { "path", path } });
-        co_return nlohmann::json();
+        co_return EndpointPage();
     }
-    co_return decodeDocument(reply.value());
+    EndpointPage page { .document = decodeDocument(reply.value()), .clock = parseClock(reply.value().head, requestedAt) };
+    co_return page;
 }
 
-asio::awaitable<nlohmann::json> PeerPageClient::configuration(Address peer) { return fetch(std::move(peer), std::string(configurationPath), fetchTimeout); }
+asio::awaitable<nlohmann::json> PeerPageClient::configuration(Address peer)
+{
+    auto page = co_await fetch(std::move(peer), std::string(configurationPath), fetchTimeout);
+    co_return std::move(page.document);
+}
 
-asio::awaitable<nlohmann::json> PeerPageClient::endpointsSince(Address peer, std::uint64_t since)
+asio::awaitable<EndpointPage> PeerPageClient::endpointsSince(Address peer, std::uint64_t since)
 {
     return fetch(std::move(peer), std::string(endpointsPath) + std::to_string(since), since == 0 ? fullPageTimeout : fetchTimeout);
 }
--- a/modules/control/peer_pages.h
+++ b/modules/control/peer_pages.h
@@ -6,6 +6,7 @@
 #include "core/net/http_message.h"
 #include "modules/control/endpoint_history.h"
 #include <deque>
+#include <optional>
 
 namespace Onyxnotch {
 
@@ -15,7 +16,8 @@
 class PeerPageServer {
 public:
     void setConfiguration(const std::string& text);
-    // Answers a request for `path`; with "not found" if the path is unknown or there is no such document yet.
+    // Answers a request for `path`; with "not found" if the path is unknown or there is no such document yet. The response also states this
+    // node's steady clock, by which the times in a page are given.
     HttpResponse answer(std::string_view path, const EndpointHistory&);
 
 private:
@@ -24,6 +26,12 @@
     std::map<std::uint64_t, std::string> m_pages {}; // Compressed pages, by the revision that the requesting node has.
 };
 
+// A page of endpoints, see EndpointHistory::pageSince().
+struct EndpointPage {
+    nlohmann::json document {}; // Null if the request failed or the response is malformed.
+    std::optional<PeerClock> clock {}; // For the times in the document; nullopt if the other node did not state its clock.
+};
+
 // Fetches documents from other nodes. Keeps connections open to the last few nodes it used.
 class PeerPageClient {
 public:
@@ -32,13 +40,13 @@
     {
     }
 
-    // Returns null if the request failed or the response is malformed; so does endpointsSince().
+    // Returns null if the request failed or the response is malformed.
     asio::awaitable<nlohmann::json> configuration(Address peer);
     // Fetches the endpoints that changed after the store revision `since`; all endpoints if it is 0.
-    asio::awaitable<nlohmann::json> endpointsSince(Address peer, std::uint64_t since);
+    asio::awaitable<EndpointPage> endpointsSince(Address peer, std::uint64_t since);
 
 private:
-    asio::awaitable<nlohmann::json> fetch(Address peer, std::string path, Milliseconds timeout);
+    asio::awaitable<EndpointPage> fetch(Address peer, std::string path, Milliseconds timeout);
     std::shared_ptr<AsyncHttpClient> clientFor(const Address&);
 
     asio::io_context& m_context;
--- a/modules/control/store_follower.cpp
+++ b/modules/control/store_follower.cpp
@@ -28,6 +28,8 @@
     } else {
         m_lastFailure = steadyNow();
         m_nextWatchWait = m_options.initialWatchWait;
+        if (!m_isConnected && m_failureLogBudget.take(steadyNow()))
+            logEvent(LogLevel::Info, "store_not_reached", { { "kind", nameOf(m_kind) }, { "error", error->message } });
     }
     if (isConnected == m_isConnected)
         return;
--- a/modules/control/store_follower.h
+++ b/modules/control/store_follower.h
@@ -94,6 +94,7 @@
     Milliseconds m_nextWatchWait;
     // Lines per second; limited because another client of the store may keep writing objects without a readable name.
     LogRateLimiter m_unnamedLogBudget { 1 };
+    LogRateLimiter m_failureLogBudget { 1 }; // Lines per second; calls are repeated several times a second while the store is away.
     LogRateLimiter m_cutLogBudget { 1 }; // Lines per second; the store may cut each watch.
     std::minstd_rand m_random { std::random_device {}() };
 };
--- a/modules/entry/entry_control.cpp
+++ b/modules/entry/entry_control.cpp
@@ -1,7 +1,6 @@
 #include "modules/entry/entry_control.h"
 
 #include "core/utf8.h"
-#include "modules/control/list_change.h"
 #include "modules/control/paged_list.h"
 #include "modules/entry/entry_requests.h"
 #include <asio/co_spawn.hpp>
@@ -141,7 +140,7 @@
     // A list that may be old is of no use any more when a peer's list has arrived before.
     if (!endpoints.connected() && !history.isEmpty())
         return;
-    history.take(objects, endpoints.revision());
+    history.take(objects, endpoints.revision(), steadyNow());
     applyEndpoints(storeSource);
 }
 
@@ -180,15 +179,42 @@
     std::erase_if(decodedEntries, [&](const auto& it) { return !history.entries().contains(it.first); });
     node.m_controlState.endpointsRevision = history.revision();
     auto age = source == peerSource ? (node.m_summary.get()->alivePeers >= node.m_options.watching.everyNodeUpTo ? relayedPageAge : peerPageAge) : Milliseconds(0);
-    registry.update(entries, endpoints.lastFailure(), steadyNow(), age, refused);
+    auto now = steadyNow();
+    auto hold = registry.update(entries, endpoints.lastFailure(), now, age, refused);
+    if (hold)
+        logEvent(LogLevel::Info, "endpoints_held", { { "source", source }, { "cause", nameOf(hold->cause) }, { "endpoints", hold->endpoints }, { "ms", toMilliseconds(hold->until - now).count() } });
     publishEndpoints(source);
 }
 
+Milliseconds EntryNode::ControlSide::measureChangeAges(const EndpointListChange& change, std::string_view source)
+{
+    auto now = steadyNow();
+    Milliseconds oldest { 0 };
+    auto measure = [&](std::string_view kind, SteadyTime readAt) {
+        auto age = std::max(Milliseconds(0), toMilliseconds(now - readAt));
+        node.m_metrics.observeSeconds("onyxnotch_entry_endpoint_change_age_seconds", std::chrono::duration<double>(age).count(), { { "change", std::string(kind) }, { "source", std::string(source) } });
+        oldest = std::max(oldest, age);
+    };
+    for (const auto& it : change.updated) {
+        auto entry = history.entries().find(it.id);
+        if (entry != history.entries().end() && entry->second.readAt != SteadyTime {})
+            measure(it.leaving ? "draining" : "added", entry->second.readAt);
+    }
+    for (const auto& it : change.removed) {
+        if (auto readAt = history.removalReadAt(it.id))
+            measure("removed", *readAt);
+    }
+    return oldest;
+}
+
 void EntryNode::ControlSide::publishEndpoints(std::string_view source)
 {
     auto list = std::make_shared<const EndpointList>(registry.list());
     auto before = node.m_view.endpoints();
-    logEndpointListChange(endpointListChange(before.get(), *list), *list, { .source = source, .revision = history.revision(), .readsStore = source == storeSource });
+    auto change = endpointListChange(before.get(), *list);
+    // The first list may be an old one.
+    auto age = before ? measureChangeAges(change, source) : Milliseconds(0);
+    logEndpointListChange(change, *list, { .source = source, .revision = history.revision(), .readsStore = source == storeSource, .age = age });
     node.m_view.setEndpoints(std::move(list));
 }
 
@@ -219,6 +245,7 @@
         node.m_controlState.holdsDuties = duties.holds();
         node.m_controlState.leftDutiesFence = duties.lastHeldFence();
         node.m_controlState.watchesStore = configurations.connected() && endpoints.connected();
+        node.m_metrics.set("onyxnotch_entry_watches_store", node.m_controlState.watchesStore ? 1 : 0);
         // While it is unknown whether the store is available, endpoints may be unable to renew their entries.
         if (!endpoints.availabilityUnknown() && registry.expire(endpoints.lastFailure(), steadyNow()))
             publishEndpoints(endpoints.connected() ? storeSource : peerSource);
@@ -273,9 +300,9 @@
         co_return true;
     auto since = history.revisionToRequest();
     auto page = co_await pageClient.endpointsSince(summary->peerEndpointsAddress, since);
-    if (page.is_null())
+    if (page.document.is_null())
         co_return false;
-    auto applied = history.apply(page);
+    auto applied = history.apply(page.document, page.clock);
     if (!applied)
         logEvent(LogLevel::Warning, "peer_page_refused", { { "peer", summary->peerEndpointsAddress.text() }, { "error", applied.error().message } });
     else if (applied.value())
--- a/modules/entry/entry_control.h
+++ b/modules/entry/entry_control.h
@@ -7,6 +7,7 @@
 #include "modules/control/blocked_requests.h"
 #include "modules/control/counted_store.h"
 #include "modules/control/endpoint_history.h"
+#include "modules/control/list_change.h"
 #include "modules/control/peer_pages.h"
 #include "modules/entry/entry_node.h"
 #include <random>
@@ -47,8 +48,10 @@
     void reportRefusedEntry(const std::string& id, const Error& error);
     // Decodes the current entries, updates the registry and publishes the list. `source` is for the log.
     void applyEndpoints(std::string_view source);
-    // Gives the registry's list to the request thread and logs what has changed.
+    // Gives the registry's list to the request thread, logs what has changed and measures how old the changes are.
     void publishEndpoints(std::string_view source);
+    // Adds the ages of the changes to the metric. Returns the age of the oldest one.
+    Milliseconds measureChangeAges(const EndpointListChange& change, std::string_view source);
     // Acts on a summary of the request thread without waiting for the next check.
     void onSummaryNews();
     // Every 100 ms, or 250 ms at a node that gets its documents from others: flushes the log, publishes the control state and removes
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -34,7 +34,7 @@
     , limits(context, forward, exchange, relay, { .node = entryOptions.node, .lifetime = lifetime })
     , endpointSpeeds({ .node = entryOptions.node, .lifetime = lifetime, .zone = entryOptions.zone })
     , admissionSum({ .node = entryOptions.node, .lifetime = lifetime, .zone = entryOptions.zone })
-    , ownClockDifference(static_cast<std::int64_t>(lifetime) - steadyMilliseconds())
+    , ownClockDifference(static_cast<std::int64_t>(lifetime) - steadyMilliseconds(steadyNow()))
 {
     forward.clockDifference = ownClockDifference;
     forward.teams.setTolerance(entryOptions.teamLimitTolerance);
@@ -173,6 +173,7 @@
     auto row = ownRow();
     relay.setOwnRow(row, now);
     exchange.sendToRelays(row);
+    forward.metrics.set("onyxnotch_entry_relays", relay.isRelay(now) ? 1 : 0);
     if (relay.isRelay(now)) {
         exchange.send(MessageType::ZoneAggregate, relay.outgoingZoneAggregate(now));
         if (relay.isFleetAggregateDue(now))
@@ -328,7 +329,7 @@
         .hasDuties = options.duties.reportsUsage || options.duties.ordersEndpoints,
         .holdsDuties = control.holdsDuties,
         .leftDutiesFence = control.leftDutiesFence,
-        .sentAtMilliseconds = static_cast<std::uint64_t>(steadyMilliseconds() + ownClockDifference),
+        .sentAtMilliseconds = static_cast<std::uint64_t>(steadyMilliseconds(steadyNow()) + ownClockDifference),
         .configurationVersion = configuration ? configuration->version() : 0,
         .watchesStore = control.watchesStore,
         .endpointsRevision = control.endpointsRevision,
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -47,8 +47,6 @@
     // Retries are counted and logged once per this number of gossip periods.
     static constexpr std::uint32_t retryReportTicks = 4;
 
-    static std::int64_t steadyMilliseconds() { return std::chrono::duration_cast<Milliseconds>(steadyNow().time_since_epoch()).count(); }
-
     Status start();
 
     // Whether requests can be forwarded: configuration and endpoints are known, and the node is not draining.
--- a/modules/peers/fleet_relay.cpp
+++ b/modules/peers/fleet_relay.cpp
@@ -9,8 +9,6 @@
 
     constexpr std::size_t maximumOwnRows = 16; // Four seconds of rows, 1.6 s after the start; no usable aggregate has an older one.
 
-    std::int64_t steadyMilliseconds(SteadyTime now) { return std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()).count(); }
-
     // Removes duplicate endpoint incarnations, then all after the first `most`; each row lists its newest first.
     void keepDistinct(std::vector<EndpointIncarnation>& lives, std::size_t most)
     {
