--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -23,8 +23,9 @@
 public:
     using Json = nlohmann::json;
 
-    FakePlatform()
-        : m_server({ .threads = 64 })
+    // `threads` limits the connections that are served at the same time.
+    explicit FakePlatform(unsigned threads = 64)
+        : m_server({ .threads = threads })
     {
         m_server.route("GET", "/objects/([^/]+)", [this](const HttpRequest& it) { return handleStoreCall([&] { return it.queryValue("watch").empty() ? list(it) : watch(it); }); });
         m_server.route("GET", "/objects/([^/]+)/([^/]+)", [this](const HttpRequest& it) { return handleStoreCall([&] { return get(it); }); });
--- a/tests/fakes/tcp_relay.h
+++ b/tests/fakes/tcp_relay.h
@@ -71,30 +71,39 @@
         m_acceptor.async_accept([this](const asio::error_code& ec, tcp::socket socket) {
             if (ec)
                 return;
-            auto connection = std::make_shared<Connection>(std::move(socket));
-            asio::error_code connectError;
-            connection->server.connect(m_target, connectError);
-            if (!connectError) {
-                m_connections.insert(connection);
-                relay(connection, connection->client, connection->server, connection->toServer);
-                relay(connection, connection->server, connection->client, connection->toClient);
-            }
+            connect(std::make_shared<Connection>(std::move(socket)));
             accept();
         });
     }
 
+    void connect(const std::shared_ptr<Connection>& connection)
+    {
+        connection->server.async_connect(m_target, [this, connection](const asio::error_code& ec) {
+            if (ec)
+                return connection->close();
+            m_connections.insert(connection);
+            relay(connection, connection->client, connection->server, connection->toServer);
+            relay(connection, connection->server, connection->client, connection->toClient);
+        });
+    }
+
+    void end(const std::shared_ptr<Connection>& connection)
+    {
+        connection->close();
+        m_connections.erase(connection);
+    }
+
+    // A slow reader holds up its own connection only.
     void relay(const std::shared_ptr<Connection>& connection, tcp::socket& from, tcp::socket& to, std::array<char, 16384>& buf)
     {
         from.async_read_some(asio::buffer(buf), [this, connection, &from, &to, &buf](const asio::error_code& ec, std::size_t size) {
-            asio::error_code writeError;
-            if (!ec)
-                asio::write(to, asio::buffer(buf, size), writeError);
-            if (ec || writeError) {
-                connection->close();
-                m_connections.erase(connection);
-                return;
-            }
-            relay(connection, from, to, buf);
+            if (ec)
+                return end(connection);
+            asio::async_write(to, asio::buffer(buf, size), [this, connection, &from, &to, &buf](const asio::error_code& writeError, std::size_t) {
+                if (writeError)
+                    return end(connection);
+                relay(connection, from, to, buf);
+            });
         });
     }
 
--- a/tests/harness/entry_site.h
+++ b/tests/harness/entry_site.h
@@ -79,8 +79,9 @@
 
 class EntrySite {
 public:
-    EntrySite()
+    explicit EntrySite(unsigned platformThreads = 64)
         : m_folder(std::filesystem::temp_directory_path() / ("onyxnotch-entry-" + std::to_string(::getpid()) + "-" + std::to_string(++siteNumber)))
+        , m_platform(platformThreads)
     {
         std::filesystem::create_directories(m_folder);
     }
@@ -174,7 +175,7 @@
     static inline int siteNumber = 0;
 
     std::filesystem::path m_folder;
-    Fakes::FakePlatform m_platform {};
+    Fakes::FakePlatform m_platform;
     std::vector<std::unique_ptr<Fakes::ScriptedEndpoint>> m_endpoints {};
     std::vector<std::unique_ptr<EntryProcess>> m_nodes {};
 };
