Decide on a hold of removed endpoints once, and pass its end on

What callers saw: requests reached removed endpoints more than 3 s after the store's acknowledgement, and were lost when these ended.

Cause: several entries that vanish together stay listed for 1.5 s, and each node counted this hold anew from when it heard of the removal, less an assumed age of 250 or 750 ms. Without faults the last of 85 nodes was at 2.6 s; when both relay nodes of a zone were killed, its nodes heard of the removal after 2.3 s and used the endpoints for another 0.75 s. A node whose own call to the store timed out held them for 2 s more, though others told it the newest list.

Change: the node that reads the removal decides until when the endpoints stay listed; pages say so by the serving node's clock, each receiver converts it, and all act on it at the same time. A node that is told by watchers ignores its own failed calls. What a new list lacks counts as noticed when the former list was last known to be the newest, at most 750 ms before.

Ruled out: a hold only at the watcher, since then hold and delay add up everywhere.

The unit test of the age of the list states the same case by time in place of age.

--- a/modules/control/endpoint_history.cpp
+++ b/modules/control/endpoint_history.cpp
@@ -1,8 +1,8 @@
 #include "modules/control/endpoint_history.h"
 
 #include "core/digest.h"
+#include "core/json_integer.h"
 #include <algorithm>
-#include <limits>
 
 namespace Onyxnotch {
 
@@ -24,8 +24,8 @@
         if (!clock || times == page.end() || !times->is_object())
             return {};
         auto it = times->find(id);
-        bool isNumber = it != times->end() && it->is_number_integer() && (!it->is_number_unsigned() || it->get<std::uint64_t>() <= std::numeric_limits<std::int64_t>::max());
-        return isNumber ? clock->toLocal(it->get<std::int64_t>()) : SteadyTime {};
+        auto milliseconds = it == times->end() ? std::nullopt : integerIn(*it);
+        return milliseconds ? clock->toLocal(*milliseconds) : SteadyTime {};
     }
 
     bool hasUnsignedNumber(const nlohmann::json& page, const char* name) { return page.value(name, nlohmann::json()).is_number_unsigned(); }
--- a/modules/control/endpoint_registry.cpp
+++ b/modules/control/endpoint_registry.cpp
@@ -12,6 +12,8 @@
         return "store_outage";
     case HoldCause::RemovedTogether:
         return "removed_together";
+    case HoldCause::OtherNode:
+        return "other_node";
     }
     return "";
 }
@@ -23,11 +25,25 @@
     return lastStoreFailure != SteadyTime {} && now - lastStoreFailure < m_options.entryRenewalTime;
 }
 
-// Counts endpoints whose entry is not in `entries`, without those that were marked as leaving or were already missing.
-std::size_t EndpointRegistry::countNewlyMissing(const std::map<std::string, ListedEndpoint>& entries) const
+// Counts endpoints whose entry is not in `entries`, without those that were marked as leaving, were already missing, or whose removal
+// another node has decided on.
+std::size_t EndpointRegistry::countUndecided(const std::map<std::string, ListedEndpoint>& entries, const RemovalTimes& removals) const
 {
-    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(),
-        [&](const auto& it) { return !it.second.leaving && !entries.contains(it.first) && !m_missingUntil.contains(it.first); }));
+    auto isUndecided = [&](const auto& it) {
+        return !it.second.leaving && !entries.contains(it.first) && !m_missingUntil.contains(it.first) && !removals.effectiveAt.contains(it.first);
+    };
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), isUndecided));
+}
+
+// The hold of endpoints whose entries are missing and on which no other node has decided; nullopt if they are removed at once.
+std::optional<EndpointHold> EndpointRegistry::decideHold(std::size_t missing, SteadyTime lastStoreFailure, const RemovalTimes& removals, SteadyTime now) const
+{
+    if (isRecovering(lastStoreFailure, now))
+        return EndpointHold { .endpoints = missing, .cause = HoldCause::StoreOutage, .until = lastStoreFailure + m_options.entryRenewalTime };
+    if (missing < m_options.massRemovalCount)
+        return std::nullopt;
+    auto noticedAt = removals.noticedAt == SteadyTime {} ? now : removals.noticedAt;
+    return EndpointHold { .endpoints = missing, .cause = HoldCause::RemovedTogether, .until = noticedAt + m_options.massRemovalHold };
 }
 
 std::uint64_t EndpointRegistry::newestBorn(const std::string& id) const
@@ -71,29 +87,40 @@
         remove(it, now);
 }
 
-std::optional<EndpointHold> EndpointRegistry::update(const std::map<std::string, ListedEndpoint>& entries, SteadyTime lastStoreFailure, SteadyTime now, Milliseconds age, const std::set<std::string>& unreadableIds)
+std::optional<EndpointHold> EndpointRegistry::update(
+    const std::map<std::string, ListedEndpoint>& entries, SteadyTime lastStoreFailure, SteadyTime now, const RemovalTimes& removals, const std::set<std::string>& unreadableIds)
 {
     ++m_listRevision;
     for (const auto& id : unreadableIds) {
         m_missingUntil.erase(id);
         remove(id, now);
     }
-    bool isAfterOutage = isRecovering(lastStoreFailure, now);
-    bool isMassRemoval = countNewlyMissing(entries) >= m_options.massRemovalCount;
-    auto listedUntil = isAfterOutage ? lastStoreFailure + m_options.entryRenewalTime : now + m_options.massRemovalHold - std::min(age, m_options.massRemovalHold);
-    EndpointHold hold { .cause = isAfterOutage ? HoldCause::StoreOutage : HoldCause::RemovedTogether, .until = listedUntil };
+    auto ownHold = decideHold(countUndecided(entries, removals), lastStoreFailure, removals, now);
+    EndpointHold started;
     for (auto it = m_entries.begin(); it != m_entries.end();) {
         if (entries.contains(it->first)) {
             m_missingUntil.erase(it->first);
             ++it;
             continue;
         }
-        if (isAfterOutage || isMassRemoval)
-            hold.endpoints += m_missingUntil.try_emplace(it->first, listedUntil).second ? 1 : 0;
-        if (m_missingUntil.contains(it->first))
-            ++it;
-        else
+        auto decided = removals.effectiveAt.find(it->first);
+        bool isDecided = decided != removals.effectiveAt.end();
+        bool isNew = !m_missingUntil.contains(it->first);
+        if (isDecided)
+            m_missingUntil.insert_or_assign(it->first, decided->second);
+        else if (ownHold)
+            m_missingUntil.try_emplace(it->first, ownHold->until);
+        auto missing = m_missingUntil.find(it->first);
+        // While the store may be away, only expire() removes what is held here.
+        bool isProlonged = !isDecided && isRecovering(lastStoreFailure, now);
+        if (missing == m_missingUntil.end() || (missing->second <= now && !isProlonged)) {
+            m_missingUntil.erase(it->first);
             it = remove(it, now);
+            continue;
+        }
+        if (isNew)
+            started = { .endpoints = started.endpoints + 1, .cause = isDecided ? HoldCause::OtherNode : ownHold->cause, .until = missing->second };
+        ++it;
     }
     std::erase_if(m_staleEntries, [&](const auto& it) { return !entries.contains(it.first); });
     for (const auto& [id, entry] : entries) {
@@ -101,7 +128,7 @@
             accept(entry);
     }
     std::erase_if(m_removedIncarnations, [&](const auto& it) { return now - it.second.removedAt > m_options.incarnationRetention; });
-    return hold.endpoints > 0 ? std::optional(hold) : std::nullopt;
+    return started.endpoints > 0 ? std::optional(started) : std::nullopt;
 }
 
 bool EndpointRegistry::expire(SteadyTime lastStoreFailure, SteadyTime now)
--- a/modules/control/endpoint_registry.h
+++ b/modules/control/endpoint_registry.h
@@ -32,6 +32,7 @@
 enum class HoldCause {
     StoreOutage, // A call to the store failed recently.
     RemovedTogether, // Several entries vanished in one update.
+    OtherNode, // The node from which the list came holds them.
 };
 
 std::string_view nameOf(HoldCause);
@@ -45,6 +46,18 @@
     bool operator==(const EndpointHold&) const = default;
 };
 
+// What is known of the endpoints without an entry in a list.
+struct RemovalTimes {
+    // When the entries may have vanished at the latest: holds for several that vanish together count from this time, so that a removal
+    // takes effect in time on a node that hears of it late. SteadyTime {}: now.
+    SteadyTime noticedAt {};
+    // By endpoint id: when a removal takes effect, as decided by the node that noticed it. All nodes follow it, so that the removal takes
+    // effect everywhere at the same time, however long the list was on its way. Other endpoints are judged here.
+    std::map<std::string, SteadyTime> effectiveAt {};
+
+    bool operator==(const RemovalTimes&) const = default;
+};
+
 class EndpointRegistry {
 public:
     explicit EndpointRegistry(const EndpointRegistryOptions& options = {})
@@ -53,16 +66,16 @@
     }
 
     // Replaces the entries with `entries`, the store's current ones. `lastStoreFailure` is when a store call of this node last failed.
-    // `age` is how long ago the entries were read, if they were received from another node: the hold for a mass removal is shortened by it,
-    // so that a removal takes effect in time on nodes that receive it late. Without this, the slowest of 77 nodes applied a removal after
-    // 3.09 s. Endpoints whose id is in `unreadableIds`, because their entry could not be read, are removed immediately. Returns the hold that
-    // the update has started, if any.
-    std::optional<EndpointHold> update(const std::map<std::string, ListedEndpoint>& entries, SteadyTime lastStoreFailure, SteadyTime now, Milliseconds age = Milliseconds(0), const std::set<std::string>& unreadableIds = {});
+    // Endpoints whose id is in `unreadableIds`, because their entry could not be read, are removed immediately. Returns the hold that the
+    // update has started, if any.
+    std::optional<EndpointHold> update(const std::map<std::string, ListedEndpoint>& entries, SteadyTime lastStoreFailure, SteadyTime now, const RemovalTimes& removals = {}, const std::set<std::string>& unreadableIds = {});
     // Removes missing endpoints whose time has expired, and accepts entries of earlier incarnations that persisted too long to be delayed
     // writes. Returns whether the list changed.
     bool expire(SteadyTime lastStoreFailure, SteadyTime now);
     EndpointList list() const;
     bool hasMissing() const { return !m_missingUntil.empty(); }
+    // Until when each endpoint stays listed whose entry has vanished, by id.
+    const std::map<std::string, SteadyTime>& heldUntil() const { return m_missingUntil; }
 
 private:
     // The newest incarnation of an endpoint that is no longer listed.
@@ -83,7 +96,8 @@
     void accept(const ListedEndpoint&);
     std::map<std::string, ListedEndpoint>::iterator remove(std::map<std::string, ListedEndpoint>::iterator, SteadyTime now);
     void remove(const std::string& id, SteadyTime now);
-    std::size_t countNewlyMissing(const std::map<std::string, ListedEndpoint>&) const;
+    std::optional<EndpointHold> decideHold(std::size_t missing, SteadyTime lastStoreFailure, const RemovalTimes&, SteadyTime now) const;
+    std::size_t countUndecided(const std::map<std::string, ListedEndpoint>& entries, const RemovalTimes&) const;
 
     EndpointRegistryOptions m_options;
     std::map<std::string, ListedEndpoint> m_entries {};
--- a/modules/control/node_summary.cpp
+++ b/modules/control/node_summary.cpp
@@ -27,6 +27,7 @@
             summary.relinquishedDuties.emplace(row->node, RelinquishedDuties { .life = row->lifetime, .fence = row->leftDutiesFence });
         if (row->canTakeDuties() && (row->node < owner.node || !owner.watchesStore || owner.relinquishedDuties))
             summary.firstCandidate = false;
+        summary.doPeersWatchStore = summary.doPeersWatchStore || row->watchesStore;
         if (row->watchesStore)
             replaceIfNewer(endpoints, { .version = row->endpointsRevision, .address = row->controlAddress, .zone = row->zone }, owner.zone);
         replaceIfNewer(configuration, { .version = row->configurationVersion, .address = row->controlAddress, .zone = row->zone }, owner.zone);
@@ -46,7 +47,7 @@
 
 NodeSummary summarizeGroup(const GroupAggregate& others, const SummaryOwner& owner)
 {
-    NodeSummary summary { .alivePeers = others.nodes, .peerHoldsDuties = !others.dutyHolders.empty(), .demand = others.demand, .versions = others.versions };
+    NodeSummary summary { .alivePeers = others.nodes, .peerHoldsDuties = !others.dutyHolders.empty(), .doPeersWatchStore = !others.watchers.empty(), .demand = others.demand, .versions = others.versions };
     for (const auto& it : others.formerDutyHolders)
         summary.relinquishedDuties.emplace(it.node, RelinquishedDuties { .life = it.lifetime, .fence = it.fence });
     bool isOtherFirst = !others.firstCandidate.empty() && (others.firstCandidate < owner.node || !owner.watchesStore || owner.relinquishedDuties);
--- a/modules/control/node_summary.h
+++ b/modules/control/node_summary.h
@@ -28,6 +28,7 @@
     // Factor on how long a node that is not the first candidate waits before it takes over singleton duties that no node holds.
     double takeoverDelayFactor { 1 };
     bool watchesStore { true }; // This node should watch the store itself instead of relying on peers.
+    bool doPeersWatchStore { false }; // At least one peer has a working watch on the store.
     bool isReplacementWatcher { false }; // Another node watches the store and is used before this one.
     double watchPauseFactor { 1 }; // Factor on the longest pause between store calls while the store does not answer.
     std::uint64_t peerEndpointsRevision { 0 }; // Highest store revision of the endpoint list among the peers that watch the store.
--- a/modules/control/peer_clock.h
+++ b/modules/control/peer_clock.h
@@ -24,6 +24,13 @@
         return requestedAt - Milliseconds(std::min(age, maximumAge));
     }
 
+    // A time in the future, at most `latest` after the request.
+    SteadyTime toLocalDeadline(std::int64_t milliseconds, Milliseconds latest) const
+    {
+        auto left = milliseconds > peerMilliseconds ? static_cast<std::uint64_t>(milliseconds) - static_cast<std::uint64_t>(peerMilliseconds) : 0;
+        return requestedAt + Milliseconds(std::min(left, static_cast<std::uint64_t>(latest.count())));
+    }
+
 private:
     static constexpr std::uint64_t maximumAge = 86'400'000; // Milliseconds, a day. Older changes need no exact age.
 };
--- a/modules/control/peer_pages.cpp
+++ b/modules/control/peer_pages.cpp
@@ -1,6 +1,7 @@
 #include "modules/control/peer_pages.h"
 
 #include "core/deflate.h"
+#include "core/json_integer.h"
 #include "core/log.h"
 #include "core/net/http_status.h"
 #include "core/utf8.h"
@@ -20,6 +21,8 @@
     constexpr std::size_t maxDocumentSize = 32U << 20U; // In bytes, uncompressed; several times the size of a page of 11,000 endpoints.
     constexpr std::size_t maxCompressedSize = 8U << 20U; // In bytes; the same, compressed.
     constexpr std::size_t maxCachedPages = 16; // Enough because requesting nodes have one of the last few revisions.
+    constexpr auto heldMember = "held_until"; // Of a page: the holds of the serving node, by endpoint id.
+    constexpr Milliseconds longestHold { 5000 }; // Longer than any hold, in case another node states a time that is far too late.
     constexpr std::size_t maxClients = 4; // For the two relay nodes of this node's zone, and for their replacements.
 
     constexpr auto clockField = "Steady-Clock-Ms"; // The serving node's steady clock when it answered.
@@ -60,7 +63,20 @@
 
 void PeerPageServer::setConfiguration(const std::string& text) { m_configuration = std::make_shared<const std::string>(compressText(text)); }
 
-HttpResponse PeerPageServer::answer(std::string_view path, const EndpointHistory& history)
+std::map<std::string, SteadyTime> EndpointPage::heldUntil() const
+{
+    std::map<std::string, SteadyTime> held;
+    auto times = document.find(heldMember);
+    if (!clock || times == document.end() || !times->is_object())
+        return held;
+    for (const auto& [id, time] : times->items()) {
+        if (auto milliseconds = integerIn(time))
+            held[id] = clock->toLocalDeadline(*milliseconds, longestHold);
+    }
+    return held;
+}
+
+HttpResponse PeerPageServer::answer(std::string_view path, const EndpointHistory& history, const std::map<std::string, SteadyTime>& heldUntil)
 {
     if (path == configurationPath && m_configuration)
         return compressedResponse(*m_configuration);
@@ -71,8 +87,12 @@
     m_pagesRevision = history.revision();
     auto since = parseRevision(path.substr(endpointsPath.size()));
     auto [page, isNew] = m_pages.try_emplace(since);
-    if (isNew)
-        page->second = compressText(history.pageSince(since).dump());
+    if (isNew) {
+        auto document = history.pageSince(since);
+        for (const auto& [id, until] : heldUntil)
+            document[heldMember][id] = steadyMilliseconds(until);
+        page->second = compressText(document.dump());
+    }
     return compressedResponse(page->second);
 }
 
--- a/modules/control/peer_pages.h
+++ b/modules/control/peer_pages.h
@@ -16,9 +16,10 @@
 class PeerPageServer {
 public:
     void setConfiguration(const std::string& text);
-    // Answers a request for `path`; with "not found" if the path is unknown or there is no such document yet. The response also states this
-    // node's steady clock, by which the times in a page are given.
-    HttpResponse answer(std::string_view path, const EndpointHistory&);
+    // Answers a request for `path`; with "not found" if the path is unknown or there is no such document yet. `heldUntil` has the
+    // endpoints without an entry that this node still lists, and until when. The response also states this node's steady clock, by which the
+    // times in a page are given.
+    HttpResponse answer(std::string_view path, const EndpointHistory&, const std::map<std::string, SteadyTime>& heldUntil = {});
 
 private:
     std::shared_ptr<const std::string> m_configuration {}; // Compressed; null until setConfiguration() is called.
@@ -26,10 +27,13 @@
     std::map<std::uint64_t, std::string> m_pages {}; // Compressed pages, by the revision that the requesting node has.
 };
 
-// A page of endpoints, see EndpointHistory::pageSince().
+// A page of endpoints, see EndpointHistory::pageSince(), with the holds of the node that served it.
 struct EndpointPage {
     nlohmann::json document {}; // Null if the request failed or the response is malformed.
     std::optional<PeerClock> clock {}; // For the times in the document; nullopt if the other node did not state its clock.
+
+    // Until when the endpoints stay listed that the other node holds, by id. Empty if it did not state its clock.
+    std::map<std::string, SteadyTime> heldUntil() const;
 };
 
 // Fetches documents from other nodes. Keeps connections open to the last few nodes it used.
--- a/modules/control/store_follower.cpp
+++ b/modules/control/store_follower.cpp
@@ -24,6 +24,7 @@
 {
     bool isConnected = error == nullptr;
     if (isConnected) {
+        m_lastResponse = steadyNow();
         m_nextRetryDelay = m_options.initialRetryDelay;
     } else {
         m_lastFailure = steadyNow();
--- a/modules/control/store_follower.h
+++ b/modules/control/store_follower.h
@@ -58,6 +58,8 @@
     // When the store last failed to respond to a call; SteadyTime {} if it never did. A watch that the store ended early is not a failure
     // if the store responds to the next call.
     SteadyTime lastFailure() const { return m_lastFailure; }
+    // When the store last responded to a call; SteadyTime {} if it never did.
+    SteadyTime lastResponse() const { return m_lastResponse; }
     // Whether the store ended the last watch early and has not responded to a call since: it may be available or not.
     bool availabilityUnknown() const { return m_wasWatchCut; }
     bool connected() const { return m_isConnected; }
@@ -89,6 +91,7 @@
     bool m_hasEverConnected { false };
     bool m_wasWatchCut { false }; // The store ended the last call, which was a watch, before it responded.
     SteadyTime m_lastFailure {};
+    SteadyTime m_lastResponse {};
     Wakeup m_idle;
     Milliseconds m_nextRetryDelay;
     Milliseconds m_nextWatchWait;
--- a/modules/entry/entry_control.cpp
+++ b/modules/entry/entry_control.cpp
@@ -27,9 +27,10 @@
     constexpr Milliseconds nodeDiscoveryPeriod { 2000 };
     constexpr Milliseconds storeCallLogInterval { 10000 };
     constexpr auto configurationName = "main";
-    // Average age of endpoints fetched from a peer: one gossip period and the fetch; with relay nodes also the sending of two aggregates.
-    constexpr Milliseconds peerPageAge { 250 };
-    constexpr Milliseconds relayedPageAge { 750 };
+    // Holds that start with a new list count from this long before it at most: the store may have been away while no node watched it.
+    constexpr Milliseconds maximumUnwatchedTime { 750 };
+    // How long after its last sign of life a watcher is still taken for one that watches, and that sign's way to this node.
+    constexpr Milliseconds watcherNewsAge { 1500 };
     // Values of the log field `source`.
     constexpr std::string_view storeSource = "store";
     constexpr std::string_view peerSource = "peer";
@@ -44,7 +45,7 @@
     , configurations(
           context, *store, StoreKind::Configuration, [this](const auto& objects, bool) { onConfigurations(objects); }, entryNode.m_options.follower)
     , endpoints(
-          context, *store, StoreKind::Endpoints, [this](const auto& objects, bool) { onEndpoints(objects); }, entryNode.m_options.follower)
+          context, *store, StoreKind::Endpoints, [this](const auto& objects, bool listed) { onEndpoints(objects, listed); }, entryNode.m_options.follower)
     , duties(context, *store, *cloud, entryNode.m_view, entryNode.m_summary, dutyOptions(entryNode))
     , rollouts(context, *store, entryNode.m_view, entryNode.m_summary, entryNode.m_versionShares, rolloutPorts(), entryNode.m_options.rollouts)
     , blockedRequests(context, *store, [this](std::vector<StoredBlockedRequest> kept) { passBlockedRequests(std::move(kept)); })
@@ -110,7 +111,7 @@
 {
     if (head.target == "/metrics")
         return { .contentType = "text/plain; version=0.0.4", .body = node.m_metrics.serialize() };
-    return pageServer.answer(head.target, history);
+    return pageServer.answer(head.target, history, registry.heldUntil());
 }
 
 void EntryNode::ControlSide::onConfigurations(const std::map<std::string, StoreObject>& objects)
@@ -135,13 +136,34 @@
     logEvent(LogLevel::Info, "configuration_in_force", { { "version", version }, { "source", source }, { "routes", routes } });
 }
 
-void EntryNode::ControlSide::onEndpoints(const std::map<std::string, StoreObject>& objects)
+void EntryNode::ControlSide::onEndpoints(const std::map<std::string, StoreObject>& objects, bool listed)
 {
     // A list that may be old is of no use any more when a peer's list has arrived before.
     if (!endpoints.connected() && !history.isEmpty())
         return;
-    history.take(objects, endpoints.revision(), steadyNow());
-    applyEndpoints(storeSource);
+    auto now = steadyNow();
+    // What a new list lacks may have vanished at any time since the former one was known to be the newest.
+    auto noticedAt = listed && currentAt != SteadyTime {} ? std::max(currentAt, now - maximumUnwatchedTime) : now;
+    currentAt = now;
+    history.take(objects, endpoints.revision(), noticedAt);
+    applyEndpoints(storeSource, { .noticedAt = noticedAt });
+}
+
+// The list is the newest if a node watches the store and no peer has a newer one.
+void EntryNode::ControlSide::noteCurrentList()
+{
+    auto summary = node.m_summary.get();
+    if (endpoints.connected())
+        currentAt = std::max(currentAt, endpoints.lastResponse());
+    else if (summary->doPeersWatchStore && summary->peerEndpointsRevision <= history.revision())
+        currentAt = std::max(currentAt, summary->madeAt - watcherNewsAge);
+}
+
+// A node that hears of the store from watchers does not conclude from its own calls that the store is away.
+SteadyTime EntryNode::ControlSide::lastStoreFailure() const
+{
+    bool isToldByOthers = !endpoints.connected() && node.m_summary.get()->doPeersWatchStore;
+    return isToldByOthers ? SteadyTime {} : endpoints.lastFailure();
 }
 
 const std::optional<ListedEndpoint>& EntryNode::ControlSide::decodeEntry(const std::string& id, const EndpointHistory::Entry& entry)
@@ -166,7 +188,7 @@
         logEvent(LogLevel::Warning, "endpoint_refused", { { "endpoint", sanitizeUtf8(id) }, { "error", sanitizeUtf8(error.message) } });
 }
 
-void EntryNode::ControlSide::applyEndpoints(std::string_view source)
+void EntryNode::ControlSide::applyEndpoints(std::string_view source, const RemovalTimes& removals)
 {
     std::map<std::string, ListedEndpoint> entries;
     std::set<std::string> refused;
@@ -178,9 +200,8 @@
     }
     std::erase_if(decodedEntries, [&](const auto& it) { return !history.entries().contains(it.first); });
     node.m_controlState.endpointsRevision = history.revision();
-    auto age = source == peerSource ? (node.m_summary.get()->alivePeers >= node.m_options.watching.everyNodeUpTo ? relayedPageAge : peerPageAge) : Milliseconds(0);
     auto now = steadyNow();
-    auto hold = registry.update(entries, endpoints.lastFailure(), now, age, refused);
+    auto hold = registry.update(entries, lastStoreFailure(), now, removals, refused);
     if (hold)
         logEvent(LogLevel::Info, "endpoints_held", { { "source", source }, { "cause", nameOf(hold->cause) }, { "endpoints", hold->endpoints }, { "ms", toMilliseconds(hold->until - now).count() } });
     publishEndpoints(source);
@@ -247,7 +268,8 @@
         node.m_controlState.watchesStore = configurations.connected() && endpoints.connected();
         node.m_metrics.set("onyxnotch_entry_watches_store", node.m_controlState.watchesStore ? 1 : 0);
         // While it is unknown whether the store is available, endpoints may be unable to renew their entries.
-        if (!endpoints.availabilityUnknown() && registry.expire(endpoints.lastFailure(), steadyNow()))
+        noteCurrentList();
+        if (!endpoints.availabilityUnknown() && registry.expire(lastStoreFailure(), steadyNow()))
             publishEndpoints(endpoints.connected() ? storeSource : peerSource);
     }
 }
@@ -306,10 +328,21 @@
     if (!applied)
         logEvent(LogLevel::Warning, "peer_page_refused", { { "peer", summary->peerEndpointsAddress.text() }, { "error", applied.error().message } });
     else if (applied.value())
-        applyEndpoints(peerSource);
+        applyEndpoints(peerSource, removalTimes(page));
     co_return applied.has_value();
 }
 
+// The removals that the other node knows of take effect at once, except those of endpoints that it holds.
+RemovalTimes EntryNode::ControlSide::removalTimes(const EndpointPage& page) const
+{
+    RemovalTimes times { .effectiveAt = page.heldUntil() };
+    for (const auto& [id, endpoint] : node.m_view.endpoints()->endpoints) {
+        if (auto readAt = history.removalReadAt(id))
+            times.effectiveAt.try_emplace(id, *readAt);
+    }
+    return times;
+}
+
 nlohmann::json EntryNode::ControlSide::nodeEntry() const
 {
     return {
--- a/modules/entry/entry_control.h
+++ b/modules/entry/entry_control.h
@@ -35,7 +35,14 @@
     void passBlockedRequests(std::vector<StoredBlockedRequest> kept);
     void onConfigurations(const std::map<std::string, StoreObject>& objects);
     void applyConfiguration(const nlohmann::json& document, std::string_view source);
-    void onEndpoints(const std::map<std::string, StoreObject>& objects);
+    // `listed` is true if the entries were listed anew, so that changes may have been missed.
+    void onEndpoints(const std::map<std::string, StoreObject>& objects, bool listed);
+    // Notes that the list of endpoints is the newest one, if it is.
+    void noteCurrentList();
+    // The last failure of the store that matters for endpoints without an entry, see EndpointRegistry.
+    SteadyTime lastStoreFailure() const;
+    // When the removals on a page of another node take effect.
+    RemovalTimes removalTimes(const EndpointPage& page) const;
 
     // Decoded content of the entry with this hash; no endpoint if the entry cannot be decoded.
     struct DecodedEntry {
@@ -47,7 +54,7 @@
     const std::optional<ListedEndpoint>& decodeEntry(const std::string& id, const EndpointHistory::Entry& entry);
     void reportRefusedEntry(const std::string& id, const Error& error);
     // Decodes the current entries, updates the registry and publishes the list. `source` is for the log.
-    void applyEndpoints(std::string_view source);
+    void applyEndpoints(std::string_view source, const RemovalTimes& removals);
     // Gives the registry's list to the request thread, logs what has changed and measures how old the changes are.
     void publishEndpoints(std::string_view source);
     // Adds the ages of the changes to the metric. Returns the age of the oldest one.
@@ -119,6 +126,7 @@
     DutyCandidates dutyCandidates {};
     Wakeup configurationNews { context };
     Wakeup endpointNews { context };
+    SteadyTime currentAt {}; // When the list of endpoints was last known to be the newest one; SteadyTime {} if it never was.
     SteadyTime startedAt { steadyNow() };
     std::minstd_rand random { std::random_device {}() };
 };
--- a/tests/modules/control/test_endpoint_history.cpp
+++ b/tests/modules/control/test_endpoint_history.cpp
@@ -104,4 +104,27 @@
     BOOST_TEST(history.isEmpty());
 }
 
+// Guards against a fault where nodes assumed how old the changes on a page were.
+BOOST_AUTO_TEST_CASE(the_time_of_a_change_is_passed_on_from_node_to_node)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    auto take = [&](EndpointHistory& history, const std::map<std::string, nlohmann::json>& values, std::uint64_t revision, int milliseconds) {
+        history.take(nlohmann::json(values), revision, start + Milliseconds(milliseconds));
+    };
+    EndpointHistory watcher;
+    EndpointHistory relay;
+    EndpointHistory member;
+    take(watcher, { { "a", entry(1) }, { "b", entry(1) } }, 10, 0);
+    BOOST_TEST(relay.apply(watcher.pageSince(0)).value());
+    BOOST_TEST(member.apply(relay.pageSince(0)).value());
+    take(watcher, { { "a", entry(2) } }, 20, 1000);
+    // Each node's clock is at another time: the relay requests the page 300 ms after the change, and the member its own 500 ms later.
+    PeerClock watcherClock { .requestedAt = start + std::chrono::hours(5), .peerMilliseconds = steadyMilliseconds(start + Milliseconds(1300)) };
+    BOOST_TEST(relay.apply(watcher.pageSince(relay.revisionToRequest()), watcherClock).value());
+    PeerClock relayClock { .requestedAt = start, .peerMilliseconds = steadyMilliseconds(start + std::chrono::hours(5) + Milliseconds(500)) };
+    BOOST_TEST(member.apply(relay.pageSince(member.revisionToRequest()), relayClock).value());
+    BOOST_TEST((member.removalReadAt("b") == start - Milliseconds(800)));
+    BOOST_TEST((member.entries().at("a").readAt == start - Milliseconds(800)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/modules/control/test_endpoint_registry.cpp
+++ b/tests/modules/control/test_endpoint_registry.cpp
@@ -72,16 +72,34 @@
 
 // Guards against a fault at 77 nodes: endpoints that vanished from a list received late from a peer stayed listed as long as after a recent
 // list, so that a removal took effect after 3.09 s instead of within 3.0 s.
-BOOST_AUTO_TEST_CASE(the_hold_of_a_mass_removal_is_shortened_by_the_age_of_the_list)
+BOOST_AUTO_TEST_CASE(the_hold_of_a_mass_removal_counts_from_when_it_was_noticed)
 {
     EndpointRegistry registry;
     registry.update(entries({ "a", "b", "c", "d" }), {}, at(0));
-    registry.update(entries({ "a" }), {}, at(1000), Milliseconds(750));
+    registry.update(entries({ "a" }), {}, at(1000), { .noticedAt = at(250) });
     BOOST_TEST(!registry.expire({}, at(1740)));
     BOOST_TEST(registry.expire({}, at(1750)));
     BOOST_TEST(registry.list().endpoints.size() == 1U);
 }
 
+// Guards against a fault where each node counted the hold of a removal anew, less an assumed age, so that a node that heard of it late used
+// the endpoints for another 750 ms.
+BOOST_AUTO_TEST_CASE(a_removal_takes_effect_when_the_node_that_noticed_it_says)
+{
+    EndpointRegistry registry;
+    registry.update(entries({ "a", "b", "c", "d", "e" }), {}, at(0));
+    RemovalTimes removals { .effectiveAt = { { "b", at(2000) }, { "c", at(2000) }, { "d", at(500) } } };
+    auto hold = registry.update(entries({ "a", "e" }), at(900), at(1000), removals);
+    BOOST_REQUIRE(hold.has_value());
+    BOOST_TEST(hold->endpoints == 2U);
+    BOOST_TEST((hold->cause == HoldCause::OtherNode));
+    BOOST_TEST((registry.heldUntil() == std::map<std::string, SteadyTime> { { "b", at(2000) }, { "c", at(2000) } }));
+    BOOST_TEST(registry.list().endpoints.size() == 4U);
+    BOOST_TEST(!registry.expire({}, at(1990)));
+    BOOST_TEST(registry.expire({}, at(2000)));
+    BOOST_TEST(registry.list().endpoints.size() == 2U);
+}
+
 // After a store outage that a pending watch call did not notice, its first response removed some thirty expired entries together.
 BOOST_AUTO_TEST_CASE(a_mass_removal_is_held_for_a_limited_time)
 {
@@ -179,7 +197,7 @@
     EndpointRegistry registry;
     registry.update(entries({ "a", "b" }), {}, at(0));
     // It is removed even shortly after an outage, when vanished entries otherwise stay listed.
-    registry.update(entries({ "a" }), at(1000), at(1100), Milliseconds(0), { "b" });
+    registry.update(entries({ "a" }), at(1000), at(1100), {}, { "b" });
     BOOST_TEST(registry.list().endpoints.size() == 1U);
     BOOST_TEST(registry.list().endpoints.contains("a"));
 }
--- a/tests/modules/control/test_peer_pages.cpp
+++ b/tests/modules/control/test_peer_pages.cpp
@@ -39,6 +39,23 @@
     BOOST_TEST(pages.answer("/other", history).status == HttpStatus::notFound);
 }
 
+BOOST_AUTO_TEST_CASE(a_page_states_until_when_endpoints_are_held)
+{
+    EndpointHistory history;
+    PeerPageServer pages;
+    history.take({ { "a", 1 } }, 10);
+    auto now = steadyNow();
+    EndpointPage page { .document = read(pages.answer("/endpoints?since=0", history, { { "b", now + Milliseconds(700) }, { "c", now + std::chrono::hours(1) } })) };
+    BOOST_TEST(page.heldUntil().empty());
+    page.clock = PeerClock { .requestedAt = SteadyTime(std::chrono::hours(1)), .peerMilliseconds = steadyMilliseconds(now) };
+    auto held = page.heldUntil();
+    BOOST_TEST((held.at("b") == SteadyTime(std::chrono::hours(1)) + Milliseconds(700)));
+    // A time far in the future is not believed.
+    BOOST_TEST((held.at("c") == SteadyTime(std::chrono::hours(1)) + Milliseconds(5000)));
+    page.document["held_until"] = { { "b", 1e300 }, { "c", "soon" }, { "d", std::numeric_limits<std::uint64_t>::max() }, { "e", -1 } };
+    BOOST_TEST((page.heldUntil() == std::map<std::string, SteadyTime> { { "e", SteadyTime(std::chrono::hours(1)) } }));
+}
+
 // Each node of a zone keeps a connection to the relay node. Guards against a limit of 64 connections: the 65th and later ones were closed
 // immediately, so that 128 of these 500 requests succeeded, and a node of a zone of 75 received a configuration over three seconds late.
 BOOST_AUTO_TEST_CASE(all_nodes_of_a_zone_are_served_concurrently)
