Let relay nodes watch the store at once when no watcher is left

What callers saw: when all three watchers of a fleet were killed, all other nodes, in touch all the time, sent requests to removed endpoints for up to 5.9 s.

Cause: a lost watcher counted as one for 1.5 s, then as long as aggregates take, and the first node that takes over waits for a share of up to 0.1 s a node. Nobody heard of changes for 2.2 to 2.4 s; only then did the hold begin. Besides, a watcher that stands by for another one reads the store up to 1 s later and took no pages of others.

Change: a node counts as a watcher for three periods after its last row; relay nodes that know most of the fleet watch at once when no watcher is left, as they pass changes on anyway; a watcher that stands by takes pages of the first one; changes that a prompt watch returns count as noticed at the response before.

Ruled out: that more watchers would help, as any number of nodes may be lost at once.

--- a/modules/control/store_follower.cpp
+++ b/modules/control/store_follower.cpp
@@ -110,7 +110,10 @@
 
 asio::awaitable<bool> StoreFollower::watch()
 {
+    auto calledAt = steadyNow();
+    auto lastResponse = m_lastResponse;
     auto changes = co_await watchOnce();
+    m_changesSince = steadyNow() - calledAt < m_options.promptResponseTime ? lastResponse : steadyNow();
     if (!changes && changes.error().code == ErrorCode::Exhausted) {
         logEvent(LogLevel::Info, "store_history_gone", { { "kind", nameOf(m_kind) }, { "revision", m_revision } });
         m_hasListed = false;
--- a/modules/control/store_follower.h
+++ b/modules/control/store_follower.h
@@ -21,6 +21,8 @@
     // Wait of the first watch call after a failure, doubled with each call that succeeds, up to `maxWatchWait`. Short, because a store that
     // accepts connections but never responds is detected only when this time is over.
     Milliseconds initialWatchWait { 500 };
+    // A watch that ends within this time may return changes from before it; a later response follows its first change at once.
+    Milliseconds promptResponseTime { 250 };
     Milliseconds initialRetryDelay { 100 }; // Before retrying after a failure or a watch that was cut; doubled with each failure.
     Milliseconds maxRetryDelay { 500 }; // Upper bound of the delay, and so of the time until the end of a store outage is noticed.
     // Before the next watch call, so that a burst of changes needs one call only; no change is needed sooner.
@@ -60,6 +62,8 @@
     SteadyTime lastFailure() const { return m_lastFailure; }
     // When the store last responded to a call; SteadyTime {} if it never did.
     SteadyTime lastResponse() const { return m_lastResponse; }
+    // The changes that the last watch returned were made after this time.
+    SteadyTime changesSince() const { return m_changesSince; }
     // Whether the store ended the last watch early and has not responded to a call since: it may be available or not.
     bool availabilityUnknown() const { return m_wasWatchCut; }
     bool connected() const { return m_isConnected; }
@@ -92,6 +96,7 @@
     bool m_wasWatchCut { false }; // The store ended the last call, which was a watch, before it responded.
     SteadyTime m_lastFailure {};
     SteadyTime m_lastResponse {};
+    SteadyTime m_changesSince {};
     Wakeup m_idle;
     Milliseconds m_nextRetryDelay;
     Milliseconds m_nextWatchWait;
--- a/modules/control/watch_choice.h
+++ b/modules/control/watch_choice.h
@@ -45,6 +45,14 @@
     return static_cast<unsigned>(std::count_if(others.begin(), others.end(), [&](const auto& it) { return rankOf(it) < selfRank; }));
 }
 
+// What a node of a large fleet knows of the others when it decides whether to watch the store.
+struct WatchSituation {
+    std::vector<StoreWatcher> others {}; // Other nodes that watch it.
+    unsigned nodes { 1 }; // In the fleet.
+    bool receivesFromPeers { false };
+    bool isRelay { false }; // The node knows most of the fleet and passes changes on to the nodes of its zone.
+};
+
 // Decides whether a node of a large fleet watches the store. Relay nodes publish which nodes do. If there are too few, further nodes start
 // watching after different delays until there are enough; starting all at the same time would cause a burst of calls that grows with the
 // fleet.
@@ -57,10 +65,11 @@
     {
     }
 
-    // `others` are the watchers known to this node, `nodes` the number of nodes in the fleet. If `receivesFromPeers` is false, the node
-    // starts watching after `isolationTimeout` at the latest.
-    bool decide(const std::vector<StoreWatcher>& others, unsigned nodes, bool receivesFromPeers, SteadyTime now)
+    // A node that receives nothing from peers starts watching after `isolationTimeout` at the latest; a relay node at once when no watcher
+    // is left, since the fleet hears of no changes until then. There are a few relay nodes for each zone.
+    bool decide(const WatchSituation& situation, SteadyTime now)
     {
+        const auto& others = situation.others;
         bool isSurplus = watcherRank(m_self, others) >= m_options.watchersPerFleet;
         bool hasEnough = others.size() >= m_options.watchersPerFleet;
         if (isSurplus || (!m_isWatching && hasEnough)) {
@@ -70,8 +79,10 @@
         }
         if (m_shortageSince == SteadyTime {})
             m_shortageSince = now;
-        auto delay = startDelay(nodes);
-        if (!receivesFromPeers)
+        auto delay = startDelay(situation.nodes);
+        if (others.empty() && situation.isRelay)
+            delay = {};
+        else if (!situation.receivesFromPeers)
             delay = std::min<SteadyTime::duration>(delay, isolationTimeout);
         m_isWatching = m_isWatching || now - m_shortageSince >= delay;
         return m_isWatching;
--- a/modules/entry/entry_control.cpp
+++ b/modules/entry/entry_control.cpp
@@ -141,9 +141,14 @@
     // A list that may be old is of no use any more when a peer's list has arrived before.
     if (!endpoints.connected() && !history.isEmpty())
         return;
+    // A peer's page may have been newer than the response to this node's watch.
+    if (endpoints.revision() < history.revision())
+        return;
     auto now = steadyNow();
     // What a new list lacks may have vanished at any time since the former one was known to be the newest.
-    auto noticedAt = listed && currentAt != SteadyTime {} ? std::max(currentAt, now - maximumUnwatchedTime) : now;
+    auto noticedAt = endpoints.changesSince();
+    if (listed)
+        noticedAt = currentAt == SteadyTime {} ? now : std::max(currentAt, now - maximumUnwatchedTime);
     currentAt = now;
     history.take(objects, endpoints.revision(), noticedAt);
     applyEndpoints(storeSource, { .noticedAt = noticedAt });
@@ -318,7 +323,9 @@
 asio::awaitable<bool> EntryNode::ControlSide::fetchEndpoints()
 {
     auto summary = node.m_summary.get();
-    if (endpoints.connected() || summary->peerEndpointsRevision <= history.revision() || isAwaitingStoreList())
+    // A watcher that only stands by for another one asks the store less often than that one.
+    bool isFirstWatcher = endpoints.connected() && !summary->isReplacementWatcher;
+    if (isFirstWatcher || summary->peerEndpointsRevision <= history.revision() || isAwaitingStoreList())
         co_return true;
     auto since = history.revisionToRequest();
     auto page = co_await pageClient.endpointsSince(summary->peerEndpointsAddress, since);
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -443,13 +443,20 @@
 NodeSummary EntryNode::RequestSide::summarize(const GroupAggregate& others, SteadyTime now)
 {
     auto result = summarizeGroup(others, summaryOwner());
-    result.watchesStore = watchDecision.decide(others.watchers, std::max(others.nodes + 1, listedNodes), others.nodes > 0, now);
+    bool knowsMostNodes = 2 * (others.nodes + 1) >= listedNodes;
+    WatchSituation situation {
+        .others = others.watchers,
+        .nodes = std::max(others.nodes + 1, listedNodes),
+        .receivesFromPeers = others.nodes > 0,
+        .isRelay = knowsMostNodes && !relay.members(now).empty(),
+    };
+    result.watchesStore = watchDecision.decide(situation, now);
     result.isReplacementWatcher = result.watchesStore && watchDecision.isReplacement(others.watchers);
     result.watchPauseFactor = watchDecision.pauseFactor(others.nodes + 1);
     result.usageSettleTime = relayedUsageSettleTime;
     result.takeoverDelayFactor = watchDecision.pauseFactor(others.nodes + 1);
-    // The first candidate is not known before messages of at least half of the fleet were received.
-    result.firstCandidate = result.firstCandidate && 2 * (others.nodes + 1) >= listedNodes;
+    // The first candidate is not known before messages of most nodes were received.
+    result.firstCandidate = result.firstCandidate && knowsMostNodes;
     addOwnState(result, now);
     return result;
 }
--- a/modules/peers/fleet_relay.cpp
+++ b/modules/peers/fleet_relay.cpp
@@ -180,6 +180,22 @@
     return rows;
 }
 
+std::vector<StoreWatcher> FleetRelay::zoneWatchers(SteadyTime now, bool includeOwnRow) const
+{
+    auto rows = m_table.heardWithin(m_options.watcherFreshFor, now);
+    if (includeOwnRow)
+        rows.push_back(&m_ownRow);
+    std::vector<StoreWatcher> watchers;
+    for (const auto* row : rows) {
+        if (row->zone == m_options.zone && row->watchesStore && !row->leaving)
+            watchers.push_back({ .zone = row->zone, .node = row->node });
+    }
+    std::sort(watchers.begin(), watchers.end());
+    if (watchers.size() > m_options.watchersPerAggregate)
+        watchers.resize(m_options.watchersPerAggregate);
+    return watchers;
+}
+
 GroupAggregate FleetRelay::zoneAggregate(SteadyTime now, bool includeOwnRow)
 {
     GroupAggregate sum { .relay = m_self };
@@ -189,12 +205,8 @@
     for (const auto* row : rows) {
         addRow(sum, *row, m_options.zone);
         sum.counted[shortNameOf(row->node)] = row->sequence;
-        if (row->watchesStore && !row->leaving)
-            sum.watchers.push_back({ .zone = row->zone, .node = row->node });
     }
-    std::sort(sum.watchers.begin(), sum.watchers.end());
-    if (sum.watchers.size() > m_options.watchersPerAggregate)
-        sum.watchers.resize(m_options.watchersPerAggregate);
+    sum.watchers = zoneWatchers(now, includeOwnRow);
     sum.silentNodes = m_table.silentIn(m_options.zone, m_options.silentFor, now);
     sum.teamTotals = (includeOwnRow ? m_zoneTotals : m_otherTotals).totals();
     truncateUpdate(sum.suspects);
--- a/modules/peers/fleet_relay.h
+++ b/modules/peers/fleet_relay.h
@@ -31,6 +31,9 @@
     Milliseconds startPeriodPerNode { 1 };
     Milliseconds startTime { 2000 };
     Milliseconds freshFor { 1500 }; // Maximum age of rows and aggregates: six gossip periods. Senders of older ones count as silent.
+    // After three gossip periods without a row a node no longer counts as a watcher of the store. Shorter than `freshFor`: until others
+    // watch, no node hears of changes, while a watcher too many costs a few calls.
+    Milliseconds watcherFreshFor { 750 };
     Milliseconds silentFor { 20000 }; // A node silent for longer counts as removed and gets no share of the teams' limits.
     // Number of randomly chosen nodes whose contacts a relay node adds to each aggregate. Enough for the contacts of a zone of 50 nodes to
     // reach all receivers of its aggregates within about five seconds: the nodes of its own zone that use it as relay node, and the relay
@@ -124,6 +127,8 @@
     bool storeIfNewer(std::map<std::string, ReceivedAggregate>&, const GroupAggregate&, SteadyTime now);
     void refreshContacts(const GroupAggregate&, SteadyTime now);
     std::vector<const PeerRow*> freshRows(SteadyTime now) const;
+    // Nodes of this zone with a working watch on the store, the first ones by name.
+    std::vector<StoreWatcher> zoneWatchers(SteadyTime now, bool includeOwnRow) const;
     void addMembers(std::vector<Address>&, SteadyTime now) const;
     // Adds a random node of this zone from which no row was received.
     void addUnheardContact(std::vector<Address>&);
--- a/modules/peers/peer_table.cpp
+++ b/modules/peers/peer_table.cpp
@@ -86,11 +86,11 @@
     std::erase_if(m_entries, [&](const auto& it) { return now - std::max(it.second.lastSeenAt, it.second.confirmedByRelayAt) > m_options.forgetAfter; });
 }
 
-std::vector<const PeerRow*> PeerTable::alive(SteadyTime now) const
+std::vector<const PeerRow*> PeerTable::heardWithin(Milliseconds duration, SteadyTime now) const
 {
     std::vector<const PeerRow*> rows;
     for (const auto& [node, entry] : m_entries) {
-        if (entry.hasRow && now - entry.lastSeenAt <= m_options.silentAfter)
+        if (entry.hasRow && now - entry.lastSeenAt <= duration)
             rows.push_back(&entry.row);
     }
     return rows;
--- a/modules/peers/peer_table.h
+++ b/modules/peers/peer_table.h
@@ -46,7 +46,8 @@
     // Nodes whose row says that they hold the singleton duties: they need the usage counts of all nodes.
     std::vector<PeerContact> dutyHolders() const;
     // Rows of the nodes from which one was received within `silentAfter`.
-    std::vector<const PeerRow*> alive(SteadyTime now) const;
+    std::vector<const PeerRow*> alive(SteadyTime now) const { return heardWithin(m_options.silentAfter, now); }
+    std::vector<const PeerRow*> heardWithin(Milliseconds duration, SteadyTime now) const;
     std::size_t aliveCount(SteadyTime now) const { return alive(now).size(); }
     // Contacts of the nodes in that zone.
     std::vector<PeerContact> contactsIn(const std::string& zone) const;
--- a/tests/modules/control/test_watch_choice.cpp
+++ b/tests/modules/control/test_watch_choice.cpp
@@ -72,7 +72,7 @@
             StoreWatcher self { .zone = "z" + std::to_string(n % 6), .node = "n" + std::to_string(n) };
             auto others = known;
             std::erase(others, self);
-            if (fleet[n].decide(others, nodes, true, start + Milliseconds(now)))
+            if (fleet[n].decide({ .others = others, .nodes = nodes, .receivesFromPeers = true }, start + Milliseconds(now)))
                 watchers.push_back(self);
         }
         result.maxWatchers = std::max(result.maxWatchers, watchers.size());
@@ -202,8 +202,25 @@
 {
     const SteadyTime start { std::chrono::hours(1) };
     WatchDecision decision("n", "z", {});
-    decision.decide({}, 300, false, start);
-    BOOST_TEST(decision.decide({}, 300, false, start + Milliseconds(1500)));
+    decision.decide({ .nodes = 300 }, start);
+    BOOST_TEST(decision.decide({ .nodes = 300 }, start + Milliseconds(1500)));
+}
+
+// Guards against a fault where no node watched for over two seconds after all watchers had been lost.
+BOOST_AUTO_TEST_CASE(relay_nodes_watch_at_once_when_no_watcher_is_left)
+{
+    const SteadyTime start { std::chrono::hours(1) };
+    unsigned watching = 0;
+    unsigned watchingBesideOthers = 0;
+    for (int n = 0; n < 8; ++n) {
+        auto name = "node-" + std::to_string(n);
+        WatchSituation situation { .nodes = 300, .receivesFromPeers = true, .isRelay = true };
+        watching += WatchDecision(name, "z0", {}).decide(situation, start) ? 1 : 0;
+        situation.others = { { .zone = "z1", .node = "node-a" } };
+        watchingBesideOthers += WatchDecision(name, "z0", {}).decide(situation, start) ? 1 : 0;
+    }
+    BOOST_TEST(watching == 8U);
+    BOOST_TEST(watchingBesideOthers == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
