Tell the others of newer endpoints at once instead of with the next aggregates

Cause: news of endpoints waited for the next row, zone aggregate and fleet aggregate, and for the next period at each receiver: up to four waits of 250 to 500 ms in a row, for each change anew.

Change: a node whose endpoints are newer sends its row, and a relay node its aggregates, outside the period, at most once in a period; a row or an aggregate that names newer endpoints reaches the control thread at once.

Weighed: long polls between nodes (a pending call for each node, also when nothing changes), a message of its own (a third way for the same news).

--- a/modules/entry/entry_control.cpp
+++ b/modules/entry/entry_control.cpp
@@ -204,7 +204,8 @@
             refused.insert(id);
     }
     std::erase_if(decodedEntries, [&](const auto& it) { return !history.entries().contains(it.first); });
-    node.m_controlState.endpointsRevision = history.revision();
+    if (node.m_controlState.endpointsRevision.exchange(history.revision()) != history.revision())
+        asio::post(node.m_requests->context, [&requests = *node.m_requests] { requests.onEndpointsChanged(); });
     auto now = steadyNow();
     auto hold = registry.update(entries, lastStoreFailure(), now, removals, refused);
     if (hold)
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <utility>
 
 namespace Onyxnotch {
 
@@ -28,6 +29,7 @@
               .speeds = [this](const SumUpdate<EndpointSpeedReport>& update) { endpointSpeeds.onUpdate(update, steadyNow()); },
               .admissionLoad = [this](const SumUpdate<AdmissionLoad>& update) { admissionSum.onUpdate(update, steadyNow()); },
               .teamLevels = [this](const TeamLevels& message) { onTeamLevels(message); },
+              .aggregate = [this](const GroupAggregate& sum) { onPeerEndpoints(sum.endpoints); },
               .restartedRelays = [this](const std::vector<Address>& relays) { sendTeamLevels(relays); } })
     , readiness(context, entryOptions.readiness, [this](const HttpHead&) { return answerReadiness(); })
     , lifetime(wallMilliseconds())
@@ -69,6 +71,8 @@
     }
     for (const auto& it : row.leavingEndpoints)
         forward.endpoints.markLeaving(it, steadyNow());
+    if (row.watchesStore)
+        onPeerEndpoints({ .version = row.endpointsRevision, .address = row.controlAddress, .zone = row.zone });
     forward.suspects.onPeerUpdate(row.suspects, steadyNow());
 }
 
@@ -176,7 +180,7 @@
     forward.metrics.set("onyxnotch_entry_relays", relay.isRelay(now) ? 1 : 0);
     if (relay.isRelay(now)) {
         exchange.send(MessageType::ZoneAggregate, relay.outgoingZoneAggregate(now));
-        if (relay.isFleetAggregateDue(now))
+        if (relay.isFleetAggregateDue(now) || std::exchange(isFleetAggregateWanted, false))
             exchange.send(MessageType::FleetAggregate, relay.outgoingFleetAggregate(now));
     }
     auto received = relay.others(now).value_or(FleetRelay::Others {});
@@ -199,6 +203,29 @@
     publish(summarize(others, now));
 }
 
+void EntryNode::RequestSide::onEndpointsChanged()
+{
+    if (!usesRelays())
+        return;
+    auto now = steadyNow();
+    isFleetAggregateWanted = true;
+    if (now - earlyExchangeAt < options.gossipPeriod)
+        return;
+    earlyExchangeAt = now;
+    exchangeThroughRelays(now);
+}
+
+void EntryNode::RequestSide::onPeerEndpoints(const DocumentSource& source)
+{
+    auto known = summary.get();
+    if (!usesRelays() || source.version <= known->peerEndpointsRevision)
+        return;
+    auto updated = *known;
+    updated.peerEndpointsRevision = source.version;
+    updated.peerEndpointsAddress = source.address;
+    publish(std::move(updated));
+}
+
 void EntryNode::RequestSide::adaptRelayTimeouts()
 {
     constexpr int stalePeriods = 2;
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -75,6 +75,11 @@
     // One gossip period with relay nodes, which aggregate the rows. A relay node builds and sends its aggregates in the same call, from
     // what it has received until then.
     void exchangeThroughRelays(SteadyTime now);
+    // Called when this node has newer endpoints: in a fleet with relay nodes the others are told at once, at most once in a period besides
+    // the regular messages, as several nodes pass the news on one after the other.
+    void onEndpointsChanged();
+    // Tells the control thread at once of a peer that has newer endpoints.
+    void onPeerEndpoints(const DocumentSource&);
 
     // Sets the times after which peer data is stale, with relay nodes: rows and zone aggregates are sent each period, the fleet aggregate
     // every second period by each relay node of the zone, so received data may be that old.
@@ -149,6 +154,8 @@
     ForwardServer server;
     PeerTable peers;
     FleetRelay relay;
+    SteadyTime earlyExchangeAt {}; // The last one outside the regular period.
+    bool isFleetAggregateWanted { false }; // The next messages include the fleet aggregate, in whichever period.
     WatchDecision watchDecision { options.node, options.zone, options.watching };
     PeerExchange exchange;
     AsyncHttpServer readiness;
--- a/modules/peers/peer_exchange.cpp
+++ b/modules/peers/peer_exchange.cpp
@@ -133,6 +133,8 @@
         m_relay.onZoneAggregate(sum, steadyNow());
     else
         m_relay.onFleetAggregate(sum, steadyNow());
+    if (m_receivers.aggregate)
+        m_receivers.aggregate(sum);
     auto restarted = m_relay.takeRestartedRelays();
     if (!restarted.empty() && m_receivers.restartedRelays)
         m_receivers.restartedRelays(restarted);
--- a/modules/peers/peer_exchange.h
+++ b/modules/peers/peer_exchange.h
@@ -50,6 +50,7 @@
     std::function<void(const SumUpdate<EndpointSpeedReport>&)> speeds {};
     std::function<void(const SumUpdate<AdmissionLoad>&)> admissionLoad {};
     std::function<void(const TeamLevels&)> teamLevels {};
+    std::function<void(const GroupAggregate&)> aggregate {};
     std::function<void(const std::vector<Address>&)> restartedRelays {}; // Addresses of relay nodes that have started again.
 };
 
