Do not read the list of endpoints before there is one

Read in the diff, not seen in a run: a node whose store does not answer at its start takes its first endpoints from a peer, and the removals of that page were looked up in the list that it did not have yet, which would have ended the process. Also, a watcher that lists anew takes the store's list even if its revision is lower, as before; only a watch that a peer's page has overtaken is left out.

--- a/modules/entry/entry_control.cpp
+++ b/modules/entry/entry_control.cpp
@@ -143,7 +143,7 @@
     if (!endpoints.connected() && !history.isEmpty())
         return;
     // A peer's page may have been newer than the response to this node's watch.
-    if (endpoints.revision() < history.revision())
+    if (!listed && endpoints.revision() < history.revision())
         return;
     auto now = steadyNow();
     // What a new list lacks may have vanished at any time since the former one was known to be the newest.
@@ -345,7 +345,10 @@
 RemovalTimes EntryNode::ControlSide::removalTimes(const EndpointPage& page) const
 {
     RemovalTimes times { .effectiveAt = page.heldUntil() };
-    for (const auto& [id, endpoint] : node.m_view.endpoints()->endpoints) {
+    auto current = node.m_view.endpoints();
+    if (!current)
+        return times;
+    for (const auto& [id, endpoint] : current->endpoints) {
         if (auto readAt = history.removalReadAt(id))
             times.effectiveAt.try_emplace(id, *readAt);
     }
