Test a node that takes its first endpoints from a peer

The bounds of toInteger() are written as the linter asks. The soak of removals no longer passes seeds, which nodes of one host do not use.

--- a/core/json_numbers.h
+++ b/core/json_numbers.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <concepts>
 #include <cstdint>
 #include <limits>
@@ -29,9 +30,9 @@
 {
     auto refuse = [] { throw std::out_of_range("number out of range"); };
     if (value.is_number_float()) {
-        // Exact bounds: both are powers of two, or zero.
+        // Both bounds are exact: powers of two, or zero.
         auto lowest = static_cast<double>(std::numeric_limits<Integer>::min());
-        auto beyond = 2.0 * static_cast<double>(std::numeric_limits<Integer>::max() / 2 + 1);
+        auto beyond = std::ldexp(1.0, std::numeric_limits<Integer>::digits);
         auto number = value.get<double>();
         if (!(number >= lowest && number < beyond))
             refuse();
--- a/tests/entry/test_recovery.cpp
+++ b/tests/entry/test_recovery.cpp
@@ -53,4 +53,25 @@
     BOOST_TEST(static_cast<double>(count) < nodeCount * maximumCallsPerNode);
 }
 
+// Guards against a node that ends, or does not serve, if it gets its first list of endpoints from a peer that has removed some of them.
+BOOST_AUTO_TEST_CASE(a_node_that_cannot_reach_the_store_starts_from_its_peers)
+{
+    EntrySite site;
+    site.declare(EntrySite::declaration(3));
+    auto answer = [](const auto& it) { return Fakes::ScriptedResponse { .bytes = answerTo(it, "hello") }; };
+    site.addEndpoint("i-1", answer);
+    site.addEndpoint("i-2", answer);
+    auto& first = site.startNode("node-1");
+    BOOST_REQUIRE(EntrySite::waitReady(first));
+    site.platform().remove("servers", "i-2");
+    BOOST_REQUIRE(first.process->waitLine([](const auto& line) { return line.find("\"endpoint_gone\"") != std::string::npos; }, Milliseconds(5000)).has_value());
+    // Nodes find each other by seeds of other hosts, all with the same gossip port.
+    auto host = ownLoopback();
+    host.back() = host.back() == '1' ? '2' : '1';
+    Json listen { { "callers", host + ":0" }, { "readiness", host + ":0" }, { "control", host + ":0" } };
+    auto& second = site.startNode("node-2", { { "store", "127.0.0.1:1" }, { "listen", listen }, { "gossipPort", first.gossip.port }, { "seeds", { first.gossip.text() } } });
+    BOOST_TEST(EntrySite::waitReady(second));
+    BOOST_TEST(isServing(second, 1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/soak/removal_soak.cpp
+++ b/tests/soak/removal_soak.cpp
@@ -119,10 +119,7 @@
 
         void launchNode(unsigned n)
         {
-            Json seeds = Json::array();
-            if (n > 0 && m_nodes[0].entry)
-                seeds.push_back(m_nodes[0].entry->gossip.text());
-            auto& entry = m_site.startNode("node-" + std::to_string(n), { { "zone", zoneOf(n) }, { "store", storeAddress().text() }, { "seeds", seeds } });
+            auto& entry = m_site.startNode("node-" + std::to_string(n), { { "zone", zoneOf(n) }, { "store", storeAddress().text() } });
             m_nodes[n].entry = &entry;
             m_nodes[n].isKilled = false;
             m_clients.setNode(n, entry.callers, clientsPerNode);
