--- a/modules/control/endpoint_registry.cpp
+++ b/modules/control/endpoint_registry.cpp
@@ -1,6 +1,7 @@
 #include "modules/control/endpoint_registry.h"
 
 #include <algorithm>
+#include <iterator>
 #include <vector>
 
 namespace Onyxnotch {
@@ -46,6 +47,26 @@
     return EndpointHold { .endpoints = missing, .cause = HoldCause::RemovedTogether, .until = noticedAt + m_options.massRemovalHold };
 }
 
+// Returns whether a missing endpoint stays listed, and adds it to `started` if it was not missing before.
+bool EndpointRegistry::holdMissing(const std::string& id, const std::optional<EndpointHold>& ownHold, const RemovalTimes& removals, SteadyTime now, EndpointHold& started)
+{
+    auto decided = removals.effectiveAt.find(id);
+    bool isDecided = decided != removals.effectiveAt.end();
+    bool isNew = !m_missingUntil.contains(id);
+    if (isDecided)
+        m_missingUntil.insert_or_assign(id, decided->second);
+    else if (ownHold)
+        m_missingUntil.try_emplace(id, ownHold->until);
+    auto missing = m_missingUntil.find(id);
+    // While the store may be away, only expire() removes what is held here.
+    bool isProlonged = !isDecided && ownHold && ownHold->cause == HoldCause::StoreOutage;
+    if (missing == m_missingUntil.end() || (missing->second <= now && !isProlonged))
+        return false;
+    if (isNew)
+        started = { .endpoints = started.endpoints + 1, .cause = isDecided ? HoldCause::OtherNode : ownHold->cause, .until = missing->second };
+    return true;
+}
+
 std::uint64_t EndpointRegistry::newestBorn(const std::string& id) const
 {
     if (auto current = m_entries.find(id); current != m_entries.end())
@@ -98,29 +119,11 @@
     auto ownHold = decideHold(countUndecided(entries, removals), lastStoreFailure, removals, now);
     EndpointHold started;
     for (auto it = m_entries.begin(); it != m_entries.end();) {
-        if (entries.contains(it->first)) {
-            m_missingUntil.erase(it->first);
-            ++it;
-            continue;
-        }
-        auto decided = removals.effectiveAt.find(it->first);
-        bool isDecided = decided != removals.effectiveAt.end();
-        bool isNew = !m_missingUntil.contains(it->first);
-        if (isDecided)
-            m_missingUntil.insert_or_assign(it->first, decided->second);
-        else if (ownHold)
-            m_missingUntil.try_emplace(it->first, ownHold->until);
-        auto missing = m_missingUntil.find(it->first);
-        // While the store may be away, only expire() removes what is held here.
-        bool isProlonged = !isDecided && isRecovering(lastStoreFailure, now);
-        if (missing == m_missingUntil.end() || (missing->second <= now && !isProlonged)) {
+        bool isPresent = entries.contains(it->first);
+        bool isListed = isPresent || holdMissing(it->first, ownHold, removals, now, started);
+        if (isPresent || !isListed)
             m_missingUntil.erase(it->first);
-            it = remove(it, now);
-            continue;
-        }
-        if (isNew)
-            started = { .endpoints = started.endpoints + 1, .cause = isDecided ? HoldCause::OtherNode : ownHold->cause, .until = missing->second };
-        ++it;
+        it = isListed ? std::next(it) : remove(it, now);
     }
     std::erase_if(m_staleEntries, [&](const auto& it) { return !entries.contains(it.first); });
     for (const auto& [id, entry] : entries) {
--- a/modules/control/endpoint_registry.h
+++ b/modules/control/endpoint_registry.h
@@ -97,6 +97,7 @@
     std::map<std::string, ListedEndpoint>::iterator remove(std::map<std::string, ListedEndpoint>::iterator, SteadyTime now);
     void remove(const std::string& id, SteadyTime now);
     std::optional<EndpointHold> decideHold(std::size_t missing, SteadyTime lastStoreFailure, const RemovalTimes&, SteadyTime now) const;
+    bool holdMissing(const std::string& id, const std::optional<EndpointHold>& ownHold, const RemovalTimes&, SteadyTime now, EndpointHold& started);
     std::size_t countUndecided(const std::map<std::string, ListedEndpoint>& entries, const RemovalTimes&) const;
 
     EndpointRegistryOptions m_options;
