--- a/tests/soak/removal_soak.cpp
+++ b/tests/soak/removal_soak.cpp
@@ -28,7 +28,7 @@
     constexpr Milliseconds observedAfterBound { 2000 };
     constexpr unsigned platformThreadsPerNode = 16; // More than the connections to the store that a node keeps.
 
-    // The last request of each node to each endpoint. Thread-safe.
+    // When the requests of each node reached each endpoint. Thread-safe.
     class Arrivals {
     public:
         void add(std::size_t endpoint, unsigned node, SteadyTime at)
@@ -213,7 +213,7 @@
             return found;
         }
 
-        // Chooses the nodes of the fault, which takes longer than the fault may.
+        // Chooses the nodes that the fault concerns. Asking all nodes takes a while, so it is done before the round begins.
         void prepareFault(RemovalFault fault)
         {
             m_targets.clear();
