--- a/modules/control/endpoint_registry.h
+++ b/modules/control/endpoint_registry.h
@@ -48,8 +48,8 @@
 
 // What is known of the endpoints without an entry in a list.
 struct RemovalTimes {
-    // When the entries may have vanished at the latest: holds for several that vanish together count from this time, so that a removal
-    // takes effect in time on a node that hears of it late. SteadyTime {}: now.
+    // Since when the entries may have been missing: holds for several that vanish together count from this time, so that a removal takes
+    // effect in time on a node that hears of it late. SteadyTime {}: now.
     SteadyTime noticedAt {};
     // By endpoint id: when a removal takes effect, as decided by the node that noticed it. All nodes follow it, so that the removal takes
     // effect everywhere at the same time, however long the list was on its way. Other endpoints are judged here.
