Refuse responses whose status is not 100 to 599 in three digits

What callers saw: an endpoint's answer with the status 000 was passed on (`HTTP/1.1 0 <unknown>`), as were 042, 099, 600, 700 and 999. One with leading zeros (00200) became a success with a body that is no sound endpoint's. With the word that it had not run (0503, 00421, 000), a request that may not be repeated was sent to further endpoints, and got a 503, which promises that it was not executed; its notices (draining, backoff) were believed too.

Cause: HttpParser required of a response's start line only that it is printable. The number is the library's, which takes any count of digits up to 999.

Change: the status line must have a version, one space and three digits from 100 to 599 (RFC 9112, section 4; RFC 9110, section 15), then a space or nothing. It holds for every reader of HttpParser: endpoints, interim responses, store, cloud and other nodes. A head is believed only once it is accepted as a whole, so the notices and the word that a request was not executed need no check of their own.

Evidence: entry.BrokenHeads on: 140 checks fail (statuses on four kinds of routes, other bodies, interim responses with such a status, the word that it did not run in 5 of 5, notices in 2 of 3 heads); HttpParserTests: 12 checks fail. With the change all pass; unit, EndlessBytes, OddEntries, HeadsCutShort, LateResponses and EventStreams pass.

Already handled, tests kept: 29 broken field lines (a blank, tab, control byte, NUL, DEL or a byte over 127 in or before a name, an empty one, no colon, folded lines, bare CR or LF, odd lengths) on final and interim heads and four kinds of routes were never passed on before either.

--- a/core/net/http_parser.cpp
+++ b/core/net/http_parser.cpp
@@ -33,13 +33,31 @@
         return std::all_of(name.begin(), name.end(), isTokenCharacter) && std::all_of(value.begin(), value.end(), isValueCharacter);
     }
 
-    // Accepts only printable characters, and in requests exactly two single spaces, so that all implementations split the line alike.
+    bool isDigit(char character) { return character >= '0' && character <= '9'; }
+
+    // Accepts exactly two single spaces, so that all implementations split the line alike.
+    bool isRequestLine(std::string_view line) { return std::count(line.begin(), line.end(), ' ') == 2 && line.find("  ") == std::string_view::npos; }
+
+    // Accepts version, status and reason phrase (RFC 9112, section 4). The status must have three digits, because the library reads any
+    // number of them. The space before an empty reason phrase may be missing.
+    bool isStatusLine(std::string_view line)
+    {
+        constexpr std::string_view beforeStatus = "HTTP/1.x ";
+        constexpr std::size_t statusDigits = 3;
+        if (line.size() < beforeStatus.size() + statusDigits || line[beforeStatus.size() - 1] != ' ')
+            return false;
+        auto digits = line.substr(beforeStatus.size(), statusDigits);
+        auto reason = line.substr(beforeStatus.size() + statusDigits);
+        if (!std::all_of(digits.begin(), digits.end(), isDigit) || (!reason.empty() && reason.front() != ' '))
+            return false;
+        return HttpStatus::isStatusCode(std::stoi(std::string(digits)));
+    }
+
+    // Accepts only printable characters. The library checks the version, and the method and target of a request.
     bool isStartLine(std::string_view line, HttpMessageKind kind)
     {
         bool printable = std::all_of(line.begin(), line.end(), isValueCharacter) && line.find('\t') == std::string_view::npos;
-        if (!printable || kind == HttpMessageKind::Response)
-            return printable;
-        return std::count(line.begin(), line.end(), ' ') == 2 && line.find("  ") == std::string_view::npos;
+        return printable && (kind == HttpMessageKind::Request ? isRequestLine(line) : isStatusLine(line));
     }
 
     // Requires CR LF line ends, no folded lines, and only permitted characters in names and values.
@@ -69,7 +87,7 @@
     std::optional<std::uint64_t> parseLength(const std::string& text)
     {
         constexpr std::size_t maximumDigits = 15; // More than any body size limit needs, and cannot overflow.
-        if (text.empty() || text.size() > maximumDigits || !std::all_of(text.begin(), text.end(), [](unsigned char it) { return std::isdigit(it); }))
+        if (text.empty() || text.size() > maximumDigits || !std::all_of(text.begin(), text.end(), isDigit))
             return std::nullopt;
         return std::stoull(text);
     }
--- a/core/net/http_status.h
+++ b/core/net/http_status.h
@@ -24,6 +24,14 @@
 constexpr int serviceUnavailable = 503;
 constexpr int gatewayTimeout = 504;
 
+// True for the numbers that a response can have as its status (RFC 9110, section 15).
+constexpr bool isStatusCode(int number)
+{
+    constexpr int lowest = 100;
+    constexpr int highest = 599;
+    return number >= lowest && number <= highest;
+}
+
 // True for status codes by which onyxnotch guarantees its clients that a request has not been and will not be executed.
 constexpr bool guaranteesNotExecuted(int status)
 {
--- a/tests/core/net/test_http_parser.cpp
+++ b/tests/core/net/test_http_parser.cpp
@@ -110,6 +110,22 @@
     }
 }
 
+// Guards against a number that is no status being read as one, e.g. 000 as 0 and 00200 as 200.
+BOOST_AUTO_TEST_CASE(a_response_whose_status_is_not_100_to_599_in_three_digits_is_malformed)
+{
+    auto stateOfResponse = [](const std::string& startLine) { return parse(HttpMessageKind::Response, startLine + "\r\nContent-Length: 0\r\n\r\n").state; };
+    for (const auto* line : { "HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 0 OK", "HTTP/1.1 42 OK", "HTTP/1.1 042 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+             "HTTP/1.1 0200 OK", "HTTP/1.1 00100 Continue", "HTTP/1.1 2000 OK", "HTTP/1.1 20 0 OK", "HTTP/1.1 2a0 OK", "HTTP/1.1  200 OK", "HTTP/1.1 200OK", "HTTP/1.1 ", "HTTP/1.1",
+             "HTTP/1.10 200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "http/1.1 200 OK", " HTTP/1.1 200 OK", "200 OK", "" }) {
+        BOOST_TEST_CONTEXT(line)
+        BOOST_TEST((stateOfResponse(line) == HttpParserState::Malformed));
+    }
+    for (const auto* line : { "HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 OK", "HTTP/1.1 599 Odd but valid", "HTTP/1.1 404 \xc3\xa9" }) {
+        BOOST_TEST_CONTEXT(line)
+        BOOST_TEST((stateOfResponse(line) == HttpParserState::Complete));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_head_over_the_limit)
 {
     auto unterminated = "GET / HTTP/1.1\r\nX: " + std::string(headLimit, 'a');
--- a/tests/harness/entry_site.h
+++ b/tests/harness/entry_site.h
@@ -42,6 +42,8 @@
         HttpParser parser(HttpMessageKind::Response, 65536);
         char buf[16384];
         while (parser.feed(m_input) != HttpParserState::Complete) {
+            if (parser.state() == HttpParserState::Malformed)
+                return { .head = parser.head(), .body = parser.body() };
             asio::error_code ec;
             auto size = m_socket.read_some(asio::buffer(buf), ec);
             if (ec) {
