Remove the options of every Connection field, also after a tab

What callers saw: a field that applies to one connection only was forwarded in both directions if it was named after a tab, or in a second Connection field.

Cause: only the first Connection field was read, and only spaces were trimmed around its options.

Change: all Connection fields count, and tabs are trimmed like spaces (RFC 9110, section 7.6.1).

Evidence: ConnectionOptions/fields_of_the_connection_are_not_forwarded, 4 checks fail on (two fields, request and response); it passes, and entry.Forwarding passes.

--- a/modules/forward/head_fields.cpp
+++ b/modules/forward/head_fields.cpp
@@ -1,28 +1,49 @@
 #include "modules/forward/head_fields.h"
 
 #include <algorithm>
+#include <span>
 
 namespace Onyxnotch {
 
+namespace {
+
+    bool containsName(std::span<const std::string_view> names, std::string_view name)
+    {
+        return std::any_of(names.begin(), names.end(), [&](auto it) { return equalsIgnoringCase(it, name); });
+    }
+
+    std::string_view trimmed(std::string_view text)
+    {
+        constexpr std::string_view whitespace = " \t";
+        auto begin = text.find_first_not_of(whitespace);
+        auto end = text.find_last_not_of(whitespace);
+        return begin == std::string_view::npos ? std::string_view() : text.substr(begin, end - begin + 1);
+    }
+
+    // Whether the value of a Connection field, a list of options separated by commas, contains `name`.
+    bool containsOption(std::string_view options, std::string_view name)
+    {
+        while (!options.empty()) {
+            auto comma = options.find(',');
+            if (equalsIgnoringCase(trimmed(options.substr(0, comma)), name))
+                return true;
+            options = comma == std::string_view::npos ? std::string_view() : options.substr(comma + 1);
+        }
+        return false;
+    }
+
+    bool isConnectionOption(const HttpHead& head, std::string_view name)
+    {
+        return std::any_of(head.fields.begin(), head.fields.end(), [&](const auto& it) { return equalsIgnoringCase(it.name, "connection") && containsOption(it.value, name); });
+    }
+
+} // namespace
+
 bool isHopByHop(const HttpHead& head, std::string_view name)
 {
     constexpr std::string_view hopByHopFields[] { "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
         "trailer", "transfer-encoding", "upgrade", "content-length", "expect" };
-    if (std::any_of(std::begin(hopByHopFields), std::end(hopByHopFields), [&](auto it) { return equalsIgnoringCase(it, name); }))
-        return true;
-    auto connectionFields = head.value("connection");
-    while (!connectionFields.empty()) {
-        auto comma = connectionFields.find(',');
-        auto fieldName = connectionFields.substr(0, comma);
-        while (!fieldName.empty() && fieldName.front() == ' ')
-            fieldName.remove_prefix(1);
-        while (!fieldName.empty() && fieldName.back() == ' ')
-            fieldName.remove_suffix(1);
-        if (equalsIgnoringCase(fieldName, name))
-            return true;
-        connectionFields = comma == std::string_view::npos ? std::string_view() : connectionFields.substr(comma + 1);
-    }
-    return false;
+    return containsName(hopByHopFields, name) || isConnectionOption(head, name);
 }
 
 std::vector<PromptPart> parsePromptParts(std::string_view text)
