Keep receipts and request ids that a Connection field names

What callers saw: a success without the endpoint's receipt, or without the id of its request, when the endpoint's Connection field named these as options. In the other direction a client could take from its request the id, the host, the model and the token counts that its team is charged for; the endpoint then had no id to repeat, and the request failed.

Cause: isHopByHop() removes whatever Connection names, so either side could remove the fields by which the product tells whose message it is. A sender must not name fields that are intended for all recipients (RFC 9110, section 7.6.1).

Change: options that name a field for the final recipient are ignored: those that the platform's adapter lists (WireNames::endToEnd), and HTTP's own such as Host, Content-Type and Retry-After. Weighed against: to refuse such a message as broken. It is whole, and its client needs it. Deadline, expected endpoint and team of a forwarded request are written by the node, so no option could remove these.

Evidence: entry.ConnectionOptions on: 10 successes without a receipt, 6 without an id, a failure without both, and a request that failed; all pass with the change, and Forwarding and LateResponses pass.

--- a/modules/forward/exchange_relay.cpp
+++ b/modules/forward/exchange_relay.cpp
@@ -129,7 +129,7 @@
     for (const auto& it : m_request.head.fields) {
         bool replaced = equalsIgnoringCase(it.name, names.key) || equalsIgnoringCase(it.name, names.deadline) || equalsIgnoringCase(it.name, names.lastEventId)
             || std::any_of(names.ours.begin(), names.ours.end(), [&](const auto& name) { return equalsIgnoringCase(name, it.name); });
-        if (!replaced && !isHopByHop(m_request.head, it.name))
+        if (!replaced && !isHopByHop(m_request.head, it.name, names))
             text += it.name + ": " + it.value + "\r\n";
     }
     auto add = [&](const std::string& name, const std::string& value) { text += name + ": " + value + "\r\n"; };
@@ -152,7 +152,7 @@
 {
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " " + std::string(reasonPhrase(head.status)) + "\r\n";
     for (const auto& it : head.fields) {
-        if (!isHopByHop(head, it.name))
+        if (!isHopByHop(head, it.name, m_context.options.names))
             text += it.name + ": " + it.value + "\r\n";
     }
     if (m_closeAfter || m_context.stopping)
--- a/modules/forward/head_fields.cpp
+++ b/modules/forward/head_fields.cpp
@@ -37,13 +37,22 @@
         return std::any_of(head.fields.begin(), head.fields.end(), [&](const auto& it) { return equalsIgnoringCase(it.name, "connection") && containsOption(it.value, name); });
     }
 
+    // Fields that HTTP defines for all recipients: a sender must not name them as connection options.
+    constexpr std::string_view httpEndToEndFields[] { "cache-control", "content-encoding", "content-language", "content-location", "content-range", "content-type", "date",
+        "host", "location", "retry-after", "vary" };
+
+    bool isEndToEnd(std::string_view name, const WireNames& names)
+    {
+        return containsName(httpEndToEndFields, name) || std::any_of(names.endToEnd.begin(), names.endToEnd.end(), [&](const auto& it) { return equalsIgnoringCase(it, name); });
+    }
+
 } // namespace
 
-bool isHopByHop(const HttpHead& head, std::string_view name)
+bool isHopByHop(const HttpHead& head, std::string_view name, const WireNames& names)
 {
     constexpr std::string_view hopByHopFields[] { "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
         "trailer", "transfer-encoding", "upgrade", "content-length", "expect" };
-    return containsName(hopByHopFields, name) || isConnectionOption(head, name);
+    return containsName(hopByHopFields, name) || (isConnectionOption(head, name) && !isEndToEnd(name, names));
 }
 
 std::vector<PromptPart> parsePromptParts(std::string_view text)
--- a/modules/forward/head_fields.h
+++ b/modules/forward/head_fields.h
@@ -4,13 +4,16 @@
 #include "core/clock.h"
 #include "core/net/http_parser.h"
 #include "modules/balance/prefix_cache.h"
+#include "modules/forward/wire_names.h"
 #include <charconv>
 #include <optional>
 
 namespace Onyxnotch {
 
-// Whether a header field must not be forwarded: it applies to one connection only (RFC 9110, 7.6.1) or depends on the message framing.
-bool isHopByHop(const HttpHead&, std::string_view name);
+// Whether a header field must not be forwarded: it depends on the message framing or applies to one connection only (RFC 9110, section
+// 7.6.1). Connection options that name a field for the final recipient are ignored: removing it would take away what tells whose message it
+// is.
+bool isHopByHop(const HttpHead&, std::string_view name, const WireNames&);
 
 // Parses `text` as a number. Returns nullopt unless all of the text is a number that fits the type.
 template <typename Number>
--- a/modules/forward/wire_names.h
+++ b/modules/forward/wire_names.h
@@ -24,6 +24,7 @@
     std::string endpointFieldPrefix {}; // Prefix of all header field names with which endpoints report about themselves.
     std::string priority {}; // 0 to 9; 0 is the most urgent.
     std::vector<std::string> ours {}; // Fields that only this node may set in forwarded requests; removed if a client sends them.
+    std::vector<std::string> endToEnd {}; // Fields for the final recipient of a request or response; a Connection field cannot remove them.
 };
 
 } // namespace Onyxnotch
