Answer every request of a node that stops before its process ends

What callers saw: in a planned stop in calm, requests that a node read late in the grace were taken, forwarded and cut without an answer at its end, among them requests that may not be repeated.

Cause: nothing told a request when the process ends. Its deadline is the caller's, so late requests were forwarded like any other, and drain() cut whatever still ran. With a grace shorter than the 2.5 s in which the load balancer notices, requests were taken until the end.

Change: drain() sets two times. From the first one (2.5 s after the signal, at most half of the grace) a request that was not executed is forwarded only if its deadline is within the grace; otherwise it is refused at once (503, Connection: close), wherever it is: just read, waiting for a place, or refused by an endpoint. At the second one (0.5 s before the kill, at most a quarter of the grace) what still runs is ended: a request gets 504, which promises nothing, and a stream that has begun is reset. Nothing is ended sooner because its endpoint is silent. Weighed against: a shorter deadline for all requests from the signal on, which would end early answers that are in time; and a refusal by the expected time of the service, which cannot tell a request of 4 s from one of 20 ms.

--- a/modules/entry/entry_node.h
+++ b/modules/entry/entry_node.h
@@ -30,8 +30,10 @@
     bool relays { true };
     Milliseconds grace { 8000 }; // Time from the stop signal until the process is killed.
     // A draining node accepts connections for this long: until the load balancer has probed readiness twice and stopped sending clients.
+    // At most half of the grace.
     Milliseconds drainNoticeTime { 2500 };
-    Milliseconds graceMargin { 500 }; // This long before the kill, the node cuts the remaining connections itself.
+    // This long before the kill, the node ends the remaining requests itself. At most a quarter of the grace.
+    Milliseconds graceMargin { 500 };
     ForwardOptions forward {};
     SharedRetryBudgetOptions retries {};
     TeamLimitTolerance teamLimitTolerance {};
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -352,7 +352,7 @@
         .gossipAddress = exchange.address(),
         .controlAddress = controlAddress,
         .processorPercent = options.processorPercent,
-        .leaving = forward.stopping,
+        .leaving = forward.isStopping(),
         .hasDuties = options.duties.reportsUsage || options.duties.ordersEndpoints,
         .holdsDuties = control.holdsDuties,
         .leftDutiesFence = control.leftDutiesFence,
@@ -520,29 +520,50 @@
     forward.waiting.setDemand(forward.demand.demand(), result.demand, result.alivePeers + 1);
 }
 
+Milliseconds EntryNode::RequestSide::graceMargin() const
+{
+    constexpr int maximumPart = 4; // Of a short grace.
+    return std::min(options.graceMargin, options.grace / maximumPart);
+}
+
+DrainTimes EntryNode::RequestSide::drainTimes(SteadyTime began) const
+{
+    constexpr int noticePart = 2; // Of a short grace.
+    auto untilEnd = options.grace - graceMargin();
+    return { .refusesFrom = began + std::min(options.drainNoticeTime, untilEnd / noticePart), .endsAt = began + untilEnd };
+}
+
 asio::awaitable<void> EntryNode::RequestSide::drain()
 {
-    auto began = steadyNow();
-    forward.stopping = true;
+    auto times = drainTimes(steadyNow());
+    forward.drain = times;
     logEvent(LogLevel::Info, "stopping", { { "connections", server.connections() }, { "busy", server.busy() } });
-    auto noticedAt = began + options.drainNoticeTime;
-    auto end = began + options.grace - options.graceMargin;
-    while (steadyNow() < end) {
+    while (steadyNow() < times.endsAt) {
         co_await sleepFor(context, detail::drainPollInterval);
-        // Leaves time to write the refusals of the requests that still wait.
-        if (!forward.waiting.isStopped() && end - steadyNow() < 4 * detail::drainPollInterval)
-            forward.waiting.stop();
-        if (steadyNow() < noticedAt)
+        if (steadyNow() < times.refusesFrom)
             continue;
-        // A load balancer with too few other nodes still sends clients here. Refusing them is better than cutting their requests at the
-        // end.
+        // A load balancer with too few other nodes still sends clients here. Refusing them is better than ending their requests later.
         server.stopListening();
         server.closeIdle();
+        forward.waiting.wakeAll();
         if (server.busy() == 0)
             break;
     }
-    logEvent(LogLevel::Info, "stopped", { { "cut", server.busy() } });
+    auto ended = server.busy();
+    co_await endRequests();
+    logEvent(LogLevel::Info, "stopped", { { "ended", ended }, { "cut", server.busy() } });
     context.stop();
 }
 
+// Ends the requests that still run, and waits until their answers are written.
+asio::awaitable<void> EntryNode::RequestSide::endRequests()
+{
+    constexpr int answerPart = 2; // Part of the margin before the kill for writing answers.
+    auto until = steadyNow() + graceMargin() / answerPart;
+    server.stopListening();
+    server.endRequests();
+    while (server.busy() > 0 && steadyNow() < until)
+        co_await sleepFor(context, detail::drainPollInterval);
+}
+
 } // namespace Onyxnotch
--- a/modules/entry/entry_requests.h
+++ b/modules/entry/entry_requests.h
@@ -50,7 +50,7 @@
     Status start();
 
     // Whether requests can be forwarded: configuration and endpoints are known, and the node is not draining.
-    bool isReady() const { return !forward.stopping && view.configuration() && view.endpoints(); }
+    bool isReady() const { return !forward.isStopping() && view.configuration() && view.endpoints(); }
 
     HttpResponse answerReadiness() const { return { .status = isReady() ? HttpStatus::ok : HttpStatus::serviceUnavailable }; }
 
@@ -143,6 +143,11 @@
     // Reports not ready at once, serves new connections until the load balancer has noticed, then waits until running requests have ended
     // or the grace time is nearly over.
     asio::awaitable<void> drain();
+    asio::awaitable<void> endRequests();
+    // When a node that was told to stop at `began` gives up requests.
+    DrainTimes drainTimes(SteadyTime began) const;
+    // How long before the kill the requests that still run are ended.
+    Milliseconds graceMargin() const;
 
     const EntryOptions& options;
     TrafficView& view;
--- a/modules/forward/attempt_tracker.cpp
+++ b/modules/forward/attempt_tracker.cpp
@@ -27,6 +27,8 @@
         return "out_of_time";
     case AttemptOutcome::CallerLeft:
         return "caller_left";
+    case AttemptOutcome::NodeStopping:
+        return "node_stopping";
     }
     return "";
 }
@@ -70,6 +72,7 @@
     case AttemptOutcome::Delivered:
     case AttemptOutcome::OutOfTime:
     case AttemptOutcome::CallerLeft:
+    case AttemptOutcome::NodeStopping:
         return false;
     }
     return m_attempts - m_rejected < m_options.maximumExecutions && m_rejected < m_options.maximumRejections && acquireRetry();
@@ -85,7 +88,8 @@
         return FinalResponse::EndpointFailure;
     if (neverExecuted())
         return FinalResponse::Refusal;
-    return m_lastOutcome == AttemptOutcome::OutOfTime ? FinalResponse::OutOfTime : FinalResponse::Unknown;
+    bool isOutOfTime = m_lastOutcome == AttemptOutcome::OutOfTime || m_lastOutcome == AttemptOutcome::NodeStopping;
+    return isOutOfTime ? FinalResponse::OutOfTime : FinalResponse::Unknown;
 }
 
 } // namespace Onyxnotch
--- a/modules/forward/attempt_tracker.h
+++ b/modules/forward/attempt_tracker.h
@@ -20,6 +20,7 @@
     StreamBroken, // The event stream failed after a part of it was passed on to the client.
     OutOfTime, // The deadline passed before the response was complete.
     CallerLeft, // The client disconnected.
+    NodeStopping, // This node ended the attempt, or made none, because it stops.
 };
 
 std::string_view nameOf(AttemptOutcome);
@@ -29,7 +30,7 @@
     None, // Nothing is sent: the client has disconnected.
     TruncatedStream, // The client has received a part of a stream. Its connection is reset so that the stream does not look complete.
     EndpointFailure, // The 5xx response of an endpoint is passed on.
-    OutOfTime, // The deadline has passed; the request may have been executed.
+    OutOfTime, // The deadline has passed, or this node stops; the request may have been executed.
     Unknown, // No usable response; the request may have been executed.
     Refusal, // The request was not executed and will not be.
 };
--- a/modules/forward/client_session.cpp
+++ b/modules/forward/client_session.cpp
@@ -33,20 +33,30 @@
         m_connection->close();
 }
 
+void ClientSession::endRequest()
+{
+    if (m_exchange)
+        m_exchange->endForStop();
+    else
+        m_connection->close();
+}
+
 asio::awaitable<void> ClientSession::run()
 {
     auto self = shared_from_this();
     while (m_keepAlive) {
         m_idle = true;
-        auto result = co_await readRequest();
-        if (result != ReadResult::Complete)
+        if (co_await readRequest() != ReadResult::Complete)
             break;
         m_idle = false;
-        m_keepAlive = m_request.head.keepAlive && !m_context.stopping;
+        m_keepAlive = m_request.head.keepAlive && !m_context.isStopping();
         Exchange exchange(m_context, m_connection, m_request, !m_keepAlive);
-        if (co_await exchange.run() == ExchangeResult::Close)
+        m_exchange = &exchange;
+        auto result = co_await exchange.run();
+        m_exchange = nullptr;
+        if (result == ExchangeResult::Close)
             break;
-        m_keepAlive = m_keepAlive && !m_context.stopping;
+        m_keepAlive = m_keepAlive && !m_context.isStopping();
     }
     m_connection->close();
 }
--- a/modules/forward/client_session.h
+++ b/modules/forward/client_session.h
@@ -13,6 +13,9 @@
     asio::awaitable<void> run();
     // Closes the connection if no request is being read or served; used at shutdown.
     void closeIfIdle();
+    // Ends the request that is being served, with the response that is still possible, or closes the connection if there is none; used at
+    // the end of a shutdown.
+    void endRequest();
     bool isIdle() const { return m_idle; }
 
 private:
@@ -35,6 +38,7 @@
     ForwardContext& m_context;
     std::shared_ptr<AsyncConnection> m_connection;
     ClientRequest m_request {};
+    Exchange* m_exchange { nullptr }; // Serves the request; nullptr between requests.
     BodyMemoryBudget::Reservation m_bodyReservation; // Memory reserved for the request's body.
     bool m_keepAlive { true };
     bool m_idle { true };
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -8,6 +8,7 @@
 namespace Onyxnotch {
 
 const Exchange::LocalResponse Exchange::deadlineExceeded { .status = HttpStatus::gatewayTimeout, .reason = "out_of_time" };
+const Exchange::LocalResponse Exchange::endedByStop { .status = HttpStatus::gatewayTimeout, .reason = "node_stopping" };
 const Exchange::LocalResponse Exchange::endpointFailed { .status = HttpStatus::badGateway, .reason = "endpoint_broke" };
 
 Exchange::Exchange(ForwardContext& context, std::shared_ptr<AsyncConnection> client, const ClientRequest& request, bool closeAfter)
@@ -94,6 +95,21 @@
     return LocalResponse { .status = HttpStatus::tooManyRequests, .retryAfter = wait, .reason = "team_limit" };
 }
 
+void Exchange::endForStop()
+{
+    m_isEndedByStop = true;
+    if (m_call)
+        m_call->cancel();
+    if (m_waiter)
+        m_waiter->timer.cancel();
+}
+
+// A request that may have been executed is not refused: it is answered when the node ends it at the latest.
+bool Exchange::mayForward() const { return !m_isEndedByStop && (!m_attemptTracker.neverExecuted() || m_context.mayForward(m_deadline, steadyNow())); }
+
+// Refuses a request that was not executed: it might not end before the process does, and another node can serve it now.
+Exchange::LocalResponse Exchange::stoppingResponse() const { return { .retryAfter = m_context.options.retryAfter, .reason = "node_stopping" }; }
+
 asio::awaitable<ExchangeResult> Exchange::run()
 {
     while (true) {
@@ -274,6 +290,10 @@
             m_attemptTracker.onEnd(AttemptOutcome::OutOfTime);
             co_return co_await finishUndelivered(AttemptOutcome::OutOfTime);
         }
+        if (!mayForward()) {
+            m_attemptTracker.onEnd(AttemptOutcome::NodeStopping);
+            co_return co_await finishUndelivered(AttemptOutcome::NodeStopping);
+        }
         auto request = endpointRequest();
         if (m_context.options.queueing.enabled && (first || wasRefused) && m_attemptTracker.neverExecuted()) {
             auto refusal = co_await waitForPlace(request, first, wasRefused);
@@ -353,6 +373,8 @@
     if (!m_isSent)
         releaseCredit(chosen.endpoint->listed.life());
     m_hasCredit = false;
+    if (m_isEndedByStop && (outcome == AttemptOutcome::MayHaveRun || outcome == AttemptOutcome::StreamBroken))
+        outcome = AttemptOutcome::NodeStopping;
     if (m_isClientDisconnected)
         outcome = AttemptOutcome::CallerLeft;
     if (m_isSent)
@@ -414,7 +436,7 @@
     case FinalResponse::EndpointFailure:
         co_return co_await relayFailure();
     case FinalResponse::OutOfTime:
-        co_return co_await respond(deadlineExceeded);
+        co_return co_await respond(outcome == AttemptOutcome::NodeStopping ? endedByStop : deadlineExceeded);
     case FinalResponse::Unknown:
         co_return co_await respond(endpointFailed);
     case FinalResponse::Refusal:
@@ -422,6 +444,8 @@
     }
     if (outcome == AttemptOutcome::Withheld)
         co_return co_await respond(withheldResponse());
+    if (outcome == AttemptOutcome::NodeStopping)
+        co_return co_await respond(stoppingResponse());
     m_context.demand.onRefused(m_service->name);
     co_return co_await respond(noEndpointResponse());
 }
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -30,6 +30,8 @@
 
     // Returns when the client has its response or the request cannot be completed.
     asio::awaitable<ExchangeResult> run();
+    // Ends the attempt or the wait in progress because the node stops: the client gets the response that the attempts so far allow.
+    void endForStop();
 
 private:
     // A response without a body that this node creates itself. `reason` appears only in logs and metrics.
@@ -41,6 +43,7 @@
 
     static const LocalResponse deadlineExceeded;
     static const LocalResponse endpointFailed;
+    static const LocalResponse endedByStop;
 
     // The steps before an endpoint is chosen. Each returns a response if the request ends at this step, else nullopt.
     std::optional<LocalResponse> findRoute();
@@ -107,6 +110,9 @@
     void countNotice(const EndpointNotice&);
     void writeNoticeLog(const ListedEndpoint&, const EndpointNotice&);
     LocalResponse withheldResponse();
+    LocalResponse stoppingResponse() const;
+    // Whether the request may be sent to an endpoint although the node stops.
+    bool mayForward() const;
     LocalResponse noEndpointResponse();
     // The delay until the request's next turn, not before `earliest` has passed; `otherwise` if the service is not short over all nodes.
     Milliseconds delayUntilTurn(Milliseconds earliest, Milliseconds otherwise);
@@ -199,6 +205,7 @@
     bool m_isVersionMixed { false }; // Whether the service runs several versions, so that this attempt's outcome counts in comparing them.
     long m_firstEventMilliseconds { -1 }; // From the request's arrival to the first event; -1 if there was none.
     bool m_isClientDisconnected { false };
+    bool m_isEndedByStop { false }; // endForStop() was called.
     // Whether the request arrived in its turn (ReturnTurns): it was refused for lack of capacity and returns when it was told, or its first
     // attempt happens to fall into its turn. Set by run() once the request is within its team's limit, constant afterwards. It goes before
     // newcomers of its priority and is not made to yield to more urgent ones.
--- a/modules/forward/exchange_notes.cpp
+++ b/modules/forward/exchange_notes.cpp
@@ -114,6 +114,7 @@
     case AttemptOutcome::Unwanted:
     case AttemptOutcome::Withheld:
     case AttemptOutcome::CallerLeft:
+    case AttemptOutcome::NodeStopping:
         break;
     }
     speeds.onEndWithoutEvidence(endpoint.shortName);
@@ -142,7 +143,7 @@
         suspects.onAnswered(digest(), life, m_attemptStartedAt, now);
     else if (call.connectionLost() && m_context.endpoints.isExpectedToServe(endpoint.life()))
         suspects.onLost(digest(), life, now);
-    else if (attemptOutcome == AttemptOutcome::OutOfTime || attemptOutcome == AttemptOutcome::CallerLeft)
+    else if (attemptOutcome == AttemptOutcome::OutOfTime || attemptOutcome == AttemptOutcome::CallerLeft || attemptOutcome == AttemptOutcome::NodeStopping)
         suspects.onLeft(digest(), life, now);
     else
         suspects.onEnded(digest(), life);
@@ -266,6 +267,7 @@
     case AttemptOutcome::Unwanted:
     case AttemptOutcome::Withheld:
     case AttemptOutcome::CallerLeft:
+    case AttemptOutcome::NodeStopping:
         return;
     }
 }
--- a/modules/forward/exchange_queueing.cpp
+++ b/modules/forward/exchange_queueing.cpp
@@ -118,14 +118,14 @@
     return std::min(std::chrono::floor<Milliseconds>(std::chrono::duration<double>(seconds)), timeLeft() - m_context.options.minimumTimeToSend);
 }
 
-// The response if the request may not stay in the queue, regardless of free places: it was displaced, the node stops, the request is
-// suspected, or it has to start over with another route, service or team, where the response is not sent.
+// The response if the request may not stay in the queue, regardless of free places: it was displaced, it may not end
+// before the node does, it is suspected, or it has to start over with another route, service or team, where the response is not sent.
 std::optional<Exchange::LocalResponse> Exchange::checkStay(const QueueWaiter& waiter)
 {
     if (waiter.isDisplaced)
         return LocalResponse { .retryAfter = m_context.options.retryAfter, .reason = "queue_full" };
-    if (m_context.waiting.isStopped())
-        return LocalResponse { .retryAfter = m_context.options.retryAfter, .reason = "no_place" };
+    if (!mayForward())
+        return stoppingResponse();
     if (!m_context.suspects.maySend(digest(), steadyNow()))
         return withheldResponse();
     m_mustStartOver = isConfigurationOutdated();
@@ -189,8 +189,8 @@
     auto expectedSeconds = expectedQueueSeconds(entry, check, request);
     auto allowedSeconds = std::chrono::duration<double>(entry.leavesAt - now).count();
     LocalResponse noPlace { .retryAfter = std::max(m_context.options.retryAfter, std::chrono::ceil<Milliseconds>(std::chrono::duration<double>(std::max(0.0, expectedSeconds)))), .reason = "no_place" };
-    if (waiting.isStopped())
-        co_return noPlace;
+    if (!mayForward())
+        co_return stoppingResponse();
     if (expectedSeconds < 0 || expectedSeconds > allowedSeconds || allowedSeconds <= 0) {
         // A request that cannot be on time is refused by runAttempts(), with the time until there is capacity.
         bool isLate = isFirst && check.state == PlaceState::Full && !canMeetObjective(*check.chosen);
--- a/modules/forward/exchange_relay.cpp
+++ b/modules/forward/exchange_relay.cpp
@@ -155,7 +155,7 @@
         if (!isHopByHop(head, it.name, m_context.options.names))
             text += it.name + ": " + it.value + "\r\n";
     }
-    if (m_closeAfter || m_context.stopping)
+    if (m_closeAfter || m_context.isStopping())
         text += "Connection: close\r\n";
     if (!length)
         text += "Transfer-Encoding: chunked\r\n";
@@ -175,7 +175,7 @@
         m_retryAfterMilliseconds = response.retryAfter->count();
     if (response.retryAfter)
         text += "Retry-After: " + formatSeconds(*response.retryAfter) + "\r\n";
-    if (m_closeAfter || m_context.stopping)
+    if (m_closeAfter || m_context.isStopping())
         text += "Connection: close\r\n";
     text += "Content-Length: 0\r\n\r\n";
     writeLog(response.status, response.reason);
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -97,6 +97,14 @@
     std::size_t m_reserved { 0 };
 };
 
+// When a node that stops as planned gives up requests.
+struct DrainTimes {
+    SteadyTime refusesFrom {}; // From then on, a request is forwarded only if its deadline is not after `endsAt`.
+    SteadyTime endsAt {}; // The requests that still run then are ended.
+
+    bool operator==(const DrainTimes&) const = default;
+};
+
 struct ForwardContext {
     ForwardContext(asio::io_context& requestContext, TrafficView& trafficView, Metrics& processMetrics, const ForwardOptions& forwardOptions,
         const SharedRetryBudgetOptions& retryOptions)
@@ -122,6 +130,10 @@
     }
     std::uint64_t fleetTimeMilliseconds() const { return fleetTimeMilliseconds(steadyNow()); }
 
+    bool isStopping() const { return drain.has_value(); }
+    // Whether a request with this deadline may be forwarded: unless the node stops, or if the request ends before the node does.
+    bool mayForward(SteadyTime deadline, SteadyTime now) const { return !drain || now < drain->refusesFrom || deadline <= drain->endsAt; }
+
     // Acquires one credit, which allows one request to an endpoint that advertises a limit. Returns false if none is granted.
     asio::awaitable<bool> acquireCredit(EndpointIncarnation life)
     {
@@ -175,7 +187,7 @@
     LogRateLimiter noticeLines { 50 }; // Log lines per second for notices that endpoints send about themselves.
     std::int64_t clockDifference { 0 }; // Agreed time of day minus the monotonic clock, in milliseconds.
     BodyMemoryBudget bodyMemory; // Client request bodies.
-    bool stopping { false };
+    std::optional<DrainTimes> drain {}; // Set once the node stops.
     // Called when a prompt is sent whose prefill exceeds `longPrefillThreshold`: other nodes need it to choose endpoints.
     std::function<void(const EndpointIncarnation&, double tokens)> notifyLongPrefill {};
     // Called when the records of suspected requests, under which endpoints fail, have changed: other nodes need the change at once.
--- a/modules/forward/forward_server.cpp
+++ b/modules/forward/forward_server.cpp
@@ -90,6 +90,12 @@
         it->closeIfIdle();
 }
 
+void ForwardServer::endRequests()
+{
+    for (const auto& it : m_sessions)
+        it->endRequest();
+}
+
 void ForwardServer::stopListening()
 {
     asio::error_code ec;
--- a/modules/forward/forward_server.h
+++ b/modules/forward/forward_server.h
@@ -1,5 +1,5 @@
 // Accepts client connections and runs one session for each. To shut down, the owner calls closeIdle() and stopListening(); requests that
-// are being served run to their end.
+// are being served run to their end, or until the owner calls endRequests().
 #pragma once
 
 #include "core/net/async_http_server.h"
@@ -20,6 +20,8 @@
     std::size_t busy() const;
     // Closes the connections that have no request; a request that a client sends on one of them later is not accepted.
     void closeIdle();
+    // Ends the requests that are still being served: their clients get the response that is possible without waiting any longer.
+    void endRequests();
     void stopListening();
 
 private:
--- a/modules/forward/waiting_requests.cpp
+++ b/modules/forward/waiting_requests.cpp
@@ -52,12 +52,6 @@
         waiter->timer.cancel();
 }
 
-void WaitingRequests::stop()
-{
-    m_isStopped = true;
-    wakeAll();
-}
-
 void WaitingRequests::onPlaceReleased(const std::string& service, const std::string& team)
 {
     m_queue.onPlaceReleased(service, team);
--- a/modules/forward/waiting_requests.h
+++ b/modules/forward/waiting_requests.h
@@ -40,9 +40,6 @@
     void wakeNextOfEachService();
     // Lets all requests check whether they may stay: the configuration has changed, or the node stops.
     void wakeAll();
-    // The requests that still wait are refused, and none is added.
-    void stop();
-    bool isStopped() const { return m_isStopped; }
 
     const RequestQueue& queue() const { return m_queue; }
     PlacePacer& pacer(const std::string& service) { return m_pacers[service]; }
@@ -64,7 +61,6 @@
     std::map<std::string, double> m_shares {}; // Parts of the demand that is heard.
     unsigned m_heardNodes { 1 };
     std::uint64_t m_lastId { 0 };
-    bool m_isStopped { false };
 };
 
 } // namespace Onyxnotch
