Limit the memory of all responses that a node receives at once

What callers saw (reports of other operators; here in a test): a faulty endpoint sends bytes without end in many responses at once. Each stays within its own limit, the node runs out of memory, and the requests of all its clients end with it.

Cause: each reader of a response has a limit (1 MiB of a body, 256 KiB of an event, 64 KiB of a head), but no limit holds for all of them together, as it does for the bodies of requests.

Change: ResponseMemory counts what all responses occupy and keeps it within a quarter of limits.memoryMegabytes. Beyond that, the largest response of the endpoint whose responses use the most is ended: a faulty endpoint's own, not those of others. Bodies are moved to the client's write rather than copied, a kept 5xx and a slow client's response count too, and idle connections keep no buffer. Weighed against: to refuse the response that grows last, which would end those of sound endpoints; a lower limit for each, which would break large bodies in calm.

--- a/core/net/http_parser.cpp
+++ b/core/net/http_parser.cpp
@@ -198,6 +198,7 @@
 {
     m_state = HttpParserState::Head;
     m_head = {};
+    m_headBytes = 0;
     m_body.clear();
     m_noBody = false;
     m_messageComplete = false;
@@ -233,6 +234,7 @@
         return false;
     }
     input.erase(0, size);
+    m_headBytes = size;
     m_head.method = m_kind == HttpMessageKind::Request ? http_method_str(static_cast<http_method>(m_callbacks->library.method)) : "";
     m_head.status = m_kind == HttpMessageKind::Response ? static_cast<int>(m_callbacks->library.status_code) : 0;
     m_head.keepAlive = http_should_keep_alive(&m_callbacks->library) != 0;
--- a/core/net/http_parser.h
+++ b/core/net/http_parser.h
@@ -71,6 +71,8 @@
     const HttpHead& head() const { return m_head; }
     // Decoded bytes of the body. The caller may remove the ones it has processed.
     std::string& body() { return m_body; }
+    // Bytes of memory that the parsed parts of the message occupy.
+    std::size_t memoryBytes() const { return m_headBytes + m_head.fields.capacity() * sizeof(HttpField) + m_body.capacity(); }
     // True if the body ends only when the connection is closed.
     bool endsWithConnection() const;
     // Prepares for parsing the next message on the same connection.
@@ -87,6 +89,7 @@
     std::size_t m_maximumHeadBytes;
     HttpParserState m_state { HttpParserState::Head };
     HttpHead m_head {};
+    std::size_t m_headBytes { 0 }; // Length of the head as it was received.
     std::string m_body {};
     bool m_noBody { false };
     bool m_messageComplete { false };
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -37,7 +37,7 @@
             "properties": {
                 "processorCores": { "type": "number", "minimum": 0, "default": 0, "description": "Of the processor, in cores; 0 where it is not known. In a large fleet the larger nodes relay what nodes tell each other." },
                 "descriptors": { "type": "integer", "minimum": 64, "default": 4096, "description": "Open files and sockets." },
-                "memoryMegabytes": { "type": "number", "minimum": 32, "default": 256, "description": "Memory of the process. A quarter of it may hold bodies of requests." }
+                "memoryMegabytes": { "type": "number", "minimum": 32, "default": 256, "description": "Memory of the process. A quarter of it may hold bodies of requests, and a quarter responses." }
             }
         },
         "retries": {
@@ -118,8 +118,9 @@
     constexpr unsigned reservedDescriptors = 300; // For files, connections to the store, and connections to endpoints that are starting.
     constexpr double clientDescriptorShare = 0.6; // Share of the remaining descriptors for client connections; the others are for endpoints.
 
-    constexpr double bodyMemoryShare = 0.25; // Share of the memory for buffered request bodies; the remainder is for everything else, such
-                                             // as socket buffers.
+    // Shares of the memory for buffered request bodies and for responses; the remainder is for everything else, such as socket buffers.
+    constexpr double bodyMemoryShare = 0.25;
+    constexpr double responseMemoryShare = 0.25;
     constexpr double bytesInMegabyte = 1048576;
     constexpr double percentInCore = 100;
 
@@ -163,7 +164,9 @@
         entry.forward.names = Platform::wireNames();
         entry.forward.zone = entry.zone;
         entry.forward.maximumClients = static_cast<unsigned>((std::max(descriptors, reservedDescriptors + 64) - reservedDescriptors) * clientDescriptorShare);
-        entry.forward.maximumBufferedBodyBytes = static_cast<std::size_t>(document["limits"]["memoryMegabytes"].get<double>() * bytesInMegabyte * bodyMemoryShare);
+        auto memoryBytes = document["limits"]["memoryMegabytes"].get<double>() * bytesInMegabyte;
+        entry.forward.maximumBufferedBodyBytes = static_cast<std::size_t>(memoryBytes * bodyMemoryShare);
+        entry.forward.maximumResponseBytes = static_cast<std::size_t>(memoryBytes * responseMemoryShare);
         entry.forward.startupWait = milliseconds(document["startWaitMs"]);
         entry.forward.usageWindowMilliseconds = static_cast<unsigned>(millisecondsFromSeconds(document["usageWindowSeconds"]).count());
         entry.retries = { .perRequest = document["retries"]["perRequest"], .reserve = document["retries"]["reserve"], .window = millisecondsFromSeconds(document["retries"]["windowSeconds"]) };
--- a/modules/balance/endpoint_book.h
+++ b/modules/balance/endpoint_book.h
@@ -41,6 +41,7 @@
     ShortName shortName { 0 }; // Of `listed.life()`.
     std::vector<IdleConnection> idle {}; // Most recently used last.
     unsigned connections { 0 }; // Open connections, including idle ones.
+    std::size_t responseBytes { 0 }; // Memory of its responses that this node is receiving.
     unsigned inFlight { 0 };
     double waitingTokens { 0 };
     double peersInFlight { 0 };
--- a/modules/entry/entry_node.cpp
+++ b/modules/entry/entry_node.cpp
@@ -48,6 +48,7 @@
         m_requests->forward.options.sharedAdmission = options.forward.sharedAdmission;
         m_requests->forward.options.maximumClients = options.forward.maximumClients;
         m_requests->forward.bodyMemory.setLimit(options.forward.maximumBufferedBodyBytes);
+        m_requests->forward.responseMemory.setLimit(options.forward.maximumResponseBytes);
     });
 }
 
--- a/modules/entry/entry_node.h
+++ b/modules/entry/entry_node.h
@@ -61,8 +61,8 @@
     EntryNode& operator=(const EntryNode&) = delete;
 
     Status start();
-    // Applies the settings that may change at run time: grace time, retry budget, maximum client connections and bytes of bodies in memory.
-    // Thread-safe.
+    // Applies the settings that may change at run time: grace time, retry budget, maximum client connections, and the memory of bodies and
+    // responses. Thread-safe.
     void apply(const EntryOptions&);
     // Starts the drain of this node. Thread-safe.
     void stop();
--- a/modules/entry/entry_requests.cpp
+++ b/modules/entry/entry_requests.cpp
@@ -119,6 +119,7 @@
         reportRetries(now);
     forward.metrics.set("onyxnotch_entry_resting_endpoints", static_cast<double>(forward.endpoints.endpointsInBackoff(now)));
     forward.metrics.set("onyxnotch_entry_held_bytes", static_cast<double>(forward.bodyMemory.reserved()));
+    forward.metrics.set("onyxnotch_entry_held_response_bytes", static_cast<double>(forward.responseMemory.used()));
     if (auto leftOut = forward.succeededRequestLines.takeSuppressedCount() + forward.failedRequestLines.takeSuppressedCount())
         logEvent(LogLevel::Info, "request_lines_left_out", { { "count", leftOut } });
     ++ticks;
--- a/modules/forward/client_session.cpp
+++ b/modules/forward/client_session.cpp
@@ -50,10 +50,9 @@
             break;
         m_idle = false;
         m_keepAlive = m_request.head.keepAlive && !m_context.isStopping();
-        Exchange exchange(m_context, m_connection, m_request, !m_keepAlive);
-        m_exchange = &exchange;
-        auto result = co_await exchange.run();
-        m_exchange = nullptr;
+        m_exchange = std::make_unique<Exchange>(m_context, m_connection, m_request, !m_keepAlive);
+        auto result = co_await m_exchange->run();
+        m_exchange.reset();
         if (result == ExchangeResult::Close)
             break;
         m_keepAlive = m_keepAlive && !m_context.isStopping();
--- a/modules/forward/client_session.h
+++ b/modules/forward/client_session.h
@@ -38,7 +38,7 @@
     ForwardContext& m_context;
     std::shared_ptr<AsyncConnection> m_connection;
     ClientRequest m_request {};
-    Exchange* m_exchange { nullptr }; // Serves the request; nullptr between requests.
+    std::unique_ptr<Exchange> m_exchange {}; // Serves the request; nullptr between requests.
     BodyMemoryBudget::Reservation m_bodyReservation; // Memory reserved for the request's body.
     bool m_keepAlive { true };
     bool m_idle { true };
--- a/modules/forward/endpoint_call.cpp
+++ b/modules/forward/endpoint_call.cpp
@@ -35,6 +35,7 @@
     , m_sent(sent)
     , m_options(std::move(options))
     , m_parser(HttpMessageKind::Response, maximumAnswerHeadBytes)
+    , m_memory(context.responseMemory, m_endpoint, [this] { endForMemory(); })
 {
 }
 
@@ -71,6 +72,8 @@
         --m_endpoint->connections;
         return;
     }
+    // There may be many idle connections, so they keep no buffer.
+    m_connection->input() = std::string();
     m_endpoint->idle.push_back({ .connection = m_connection, .usableUntil = steadyNow() + time });
 }
 
@@ -160,6 +163,9 @@
         co_return CallStatus::Success;
     auto ec = co_await m_connection->read(m_options.deadline);
     state = m_parser.feed(m_connection->input());
+    updateMemory();
+    if (m_memory.isEnded())
+        co_return CallStatus::Failed;
     if (ec == asio::error::eof) {
         m_isConnectionClosed = true;
         state = m_parser.finish();
@@ -228,6 +234,24 @@
     co_return CallStatus::Success;
 }
 
+void EndpointCall::updateMemory() { m_memory.resize(m_connection->input().capacity() + m_parser.memoryBytes() + m_takenBytes); }
+
+void EndpointCall::setTakenBytes(std::size_t bytes)
+{
+    m_takenBytes = bytes;
+    updateMemory();
+}
+
+void EndpointCall::endForMemory()
+{
+    recordOversized("total");
+    cancel();
+    m_connection->input() = std::string();
+    body() = std::string();
+    if (m_options.onEndedForMemory)
+        m_options.onEndedForMemory();
+}
+
 void EndpointCall::recordOversized(const std::string& part) { m_context.metrics.increment("onyxnotch_entry_oversized_responses_total", { { "part", part } }); }
 
 asio::awaitable<CallStatus> EndpointCall::readBody()
--- a/modules/forward/endpoint_call.h
+++ b/modules/forward/endpoint_call.h
@@ -22,6 +22,8 @@
     // Called with each response head as soon as it has been read, including interim responses and responses to other requests: any of them
     // may carry notices about the endpoint.
     std::function<void(const HttpHead&)> onHead {};
+    // Called when this node ends the response because all responses together need too much memory. Steps in progress fail.
+    std::function<void()> onEndedForMemory {};
 };
 
 class EndpointCall {
@@ -52,12 +54,17 @@
     bool connectionLost() const { return m_isConnectionLost; }
     // Whether connect() failed because this node has the maximum number of connections to the endpoint.
     bool connectionLimitReached() const { return m_isConnectionLimitReached; }
+    // Counts `bytes` of the response that the caller has taken and not yet passed on.
+    void setTakenBytes(std::size_t bytes);
     // Closes the connection, so that the endpoint stops working on the request; a step in progress fails.
     void cancel();
 
 private:
     asio::awaitable<CallStatus> receive();
     asio::awaitable<CallStatus> skipResponse();
+    // Counts the memory of the response, which may end this response or others.
+    void updateMemory();
+    void endForMemory();
     // Counts a response that is ended because this part of it exceeds its maximum size.
     void recordOversized(const std::string& part);
     bool isResponseTo(const std::string& requestId) const;
@@ -72,6 +79,8 @@
     EndpointCallOptions m_options;
     std::shared_ptr<AsyncConnection> m_connection {};
     HttpParser m_parser;
+    ResponseMemory::Reservation m_memory;
+    std::size_t m_takenBytes { 0 };
     unsigned m_skippedResponses { 0 };
     std::size_t m_skippedBytes { 0 };
     bool m_isConnectionLimitReached { false };
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -355,6 +355,7 @@
         .maximumConnections = connections,
         .deadline = m_deadline,
         .onHead = [&](const HttpHead& head) { handleHead(chosen.endpoint->listed, head); },
+        .onEndedForMemory = [this] { endWriteForMemory(); },
     };
     EndpointCall call(m_context, chosen.endpoint, m_sentConnections, std::move(options));
     m_triedEndpoints.push_back(chosen.endpoint->listed.id);
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -166,10 +166,13 @@
     asio::awaitable<ExchangeResult> respond(LocalResponse);
     // Ends the request after its last attempt, which did not deliver, with the response that the attempts allow.
     asio::awaitable<ExchangeResult> finishUndelivered(AttemptOutcome);
+    void keepFailure(EndpointCall&, const ChosenEndpoint&);
     // Passes on the last 5xx response of an endpoint.
     asio::awaitable<ExchangeResult> relayFailure();
     void refundTeam();
     asio::awaitable<bool> writeToClient(std::string_view bytes);
+    // Ends the write in progress, if there is one: its client takes so long that the response has to be given up for its memory.
+    void endWriteForMemory();
     Milliseconds timeLeft() const;
     double objectiveSecondsLeft() const; // Seconds until the route's objective has passed; 0 if it has.
     // Whether the response is an unencoded event stream from the endpoint itself (it has the receipt field), for a stream route.
@@ -238,6 +241,8 @@
     // The last complete 5xx response of an endpoint; passed on if no later attempt succeeds.
     std::optional<HttpHead> m_failureHead {};
     std::string m_failureBody {};
+    std::optional<ResponseMemory::Reservation> m_failureMemory {};
+    bool m_isWriting { false }; // A write to the client is in progress.
 };
 
 } // namespace Onyxnotch
--- a/modules/forward/exchange_relay.cpp
+++ b/modules/forward/exchange_relay.cpp
@@ -30,7 +30,20 @@
     return m_route->kind == RequestKind::Stream && head.status / 100 == 2 && !HttpStatus::allowsNoBody(head.status) && head.find(m_context.options.names.receipt) && !head.find("content-encoding");
 }
 
-asio::awaitable<AttemptOutcome> Exchange::relayBuffered(EndpointCall& call, const ChosenEndpoint&)
+// Keeps a 5xx response of an endpoint, in case no later attempt succeeds.
+void Exchange::keepFailure(EndpointCall& call, const ChosenEndpoint& chosen)
+{
+    m_failureHead = call.head();
+    m_failureBody = std::move(call.body());
+    m_failureMemory.emplace(m_context.responseMemory, chosen.endpoint, [this] {
+        m_failureBody = std::string();
+        m_failureHead.reset();
+        endWriteForMemory();
+    });
+    m_failureMemory->resize(m_failureBody.capacity());
+}
+
+asio::awaitable<AttemptOutcome> Exchange::relayBuffered(EndpointCall& call, const ChosenEndpoint& chosen)
 {
     auto status = co_await call.readFullBody();
     if (status != CallStatus::Success)
@@ -44,13 +57,16 @@
     if (HttpStatus::guaranteesNotExecuted(call.head().status))
         co_return AttemptOutcome::MayHaveRun;
     if (call.head().status / 100 == 5) {
-        m_failureHead = call.head();
-        m_failureBody = std::move(call.body());
+        keepFailure(call, chosen);
         co_return AttemptOutcome::FailedAnswer;
     }
-    auto bytes = responseHead(call.head(), call.body().size());
-    if (m_request.head.method != "HEAD")
-        bytes += call.body();
+    // The body is not copied, because its client may take long to receive it.
+    auto bytes = std::move(call.body());
+    auto head = responseHead(call.head(), bytes.size());
+    if (m_request.head.method == "HEAD")
+        bytes.clear();
+    bytes.insert(0, head);
+    call.setTakenBytes(bytes.capacity());
     bool written = co_await writeToClient(bytes);
     writeLog(call.head().status, "answered");
     co_return written ? AttemptOutcome::Delivered : AttemptOutcome::CallerLeft;
@@ -97,6 +113,7 @@
         }
         if (received.isLast)
             bytes += lastChunk;
+        call.setTakenBytes(pending.capacity() + bytes.capacity());
         if (!bytes.empty() && !co_await writeToClient(bytes))
             co_return AttemptOutcome::CallerLeft;
         isWriteSlow = steadyNow() - receivedAt > slowWrite;
@@ -116,9 +133,13 @@
 
 asio::awaitable<ExchangeResult> Exchange::relayFailure()
 {
-    auto bytes = responseHead(*m_failureHead, m_failureBody.size()) + m_failureBody;
+    if (!m_failureHead)
+        co_return co_await respond(endpointFailed);
+    auto status = m_failureHead->status;
+    auto bytes = std::move(m_failureBody);
+    bytes.insert(0, responseHead(*m_failureHead, bytes.size()));
     auto written = co_await writeToClient(bytes);
-    writeLog(m_failureHead->status, "endpoint_failed");
+    writeLog(status, "endpoint_failed");
     co_return written ? ExchangeResult::Answered : ExchangeResult::Close;
 }
 
@@ -182,11 +203,19 @@
     co_return co_await writeToClient(text) ? ExchangeResult::Answered : ExchangeResult::Close;
 }
 
+void Exchange::endWriteForMemory()
+{
+    if (m_isWriting)
+        m_client->reset();
+}
+
 asio::awaitable<bool> Exchange::writeToClient(std::string_view bytes)
 {
     // A client that reads slowly delays only its own request, until the deadline. Every write gets at least this long.
     constexpr Milliseconds minimumWriteTime { 1000 };
+    m_isWriting = true;
     auto ec = co_await m_client->write(bytes, std::max(m_deadline, steadyNow() + minimumWriteTime));
+    m_isWriting = false;
     co_return !ec && !m_isClientDisconnected;
 }
 
--- a/modules/forward/forward_context.h
+++ b/modules/forward/forward_context.h
@@ -7,6 +7,7 @@
 #include "modules/admission/shared_admission.h"
 #include "modules/balance/endpoint_book.h"
 #include "modules/forward/demand_meter.h"
+#include "modules/forward/response_memory.h"
 #include "modules/forward/waiting_requests.h"
 #include "modules/forward/wire_names.h"
 #include "modules/limits/retry_budget.h"
@@ -28,6 +29,7 @@
     std::string zone {};
     unsigned maximumClients { 3000 }; // Open client connections; must stay below the process's file descriptor limit.
     std::size_t maximumBufferedBodyBytes { 64U << 20U }; // Total size of the request bodies buffered for all clients.
+    std::size_t maximumResponseBytes { 64U << 20U }; // Memory of all responses that are being received or passed on.
     // Size of one response body that is buffered until complete before it is passed on.
     std::size_t maximumBufferedResponseBytes { 1U << 20U };
     // To connect to an endpoint: many round trips, and short compared with an objective of one second.
@@ -119,6 +121,7 @@
         , suspects(options.suspects)
         , waiting(requestContext, options.queueing)
         , bodyMemory(options.maximumBufferedBodyBytes)
+        , responseMemory(options.maximumResponseBytes)
     {
         endpoints.speeds().setEnabled(options.endpointSpeeds);
     }
@@ -187,6 +190,7 @@
     LogRateLimiter noticeLines { 50 }; // Log lines per second for notices that endpoints send about themselves.
     std::int64_t clockDifference { 0 }; // Agreed time of day minus the monotonic clock, in milliseconds.
     BodyMemoryBudget bodyMemory; // Client request bodies.
+    ResponseMemory responseMemory;
     std::optional<DrainTimes> drain {}; // Set once the node stops.
     // Called when a prompt is sent whose prefill exceeds `longPrefillThreshold`: other nodes need it to choose endpoints.
     std::function<void(const EndpointIncarnation&, double tokens)> notifyLongPrefill {};
--- a/tests/platform/test_settings_template.cpp
+++ b/tests/platform/test_settings_template.cpp
@@ -125,6 +125,7 @@
     BOOST_TEST(entry.grace.count() == 8000);
     BOOST_TEST(entry.forward.usageWindowMilliseconds == 5000U);
     BOOST_TEST(entry.forward.maximumBufferedBodyBytes == std::size_t { 40 } << 20U);
+    BOOST_TEST(entry.forward.maximumResponseBytes == std::size_t { 40 } << 20U);
     BOOST_TEST(entry.duties.reportsUsage);
     BOOST_TEST(entry.duties.ordersEndpoints);
 }
