Skip interim responses to calls that the node makes itself

What would be seen: an interim response (100, 103) of the store, the cloud or another node was taken for the reply of the call, with an empty body, and the reply itself for that of the next call on the connection.

Cause: AsyncHttpClient took the first complete response for the reply.

Change: HttpResponseReader reads a response from a connection and skips interim ones, at most 16; more of them are an error like a malformed response.

Evidence: AsyncHttpClients/interim_responses_are_skipped and interim_responses_without_end_are_an_error fail on and pass with the change.

--- a/core/net/async_http_client.cpp
+++ b/core/net/async_http_client.cpp
@@ -1,12 +1,12 @@
 #include "core/net/async_http_client.h"
 
+#include "core/net/http_response_reader.h"
 #include <algorithm>
 
 namespace Onyxnotch {
 
 namespace {
 
-    constexpr std::size_t maximumHeadBytes = 65536;
     constexpr std::size_t maximumIdleConnections = 3; // Lets short calls reuse a connection while other calls wait in a long poll.
 
     // A lost SYN is retransmitted only after 1, 3 and 7 s, so it is faster to give up and open a new connection. The limit covers many
@@ -67,22 +67,19 @@
     auto connection = acquired.value();
     auto bytes = encode(call, m_address);
     auto ec = co_await connection->write(bytes, deadline);
-    HttpParser parser(HttpMessageKind::Response, maximumHeadBytes);
+    HttpResponseReader reader(*connection);
     while (!ec) {
-        ec = co_await connection->read(deadline);
-        auto state = parser.feed(connection->input());
-        if (ec == asio::error::eof)
-            state = parser.finish();
-        if (state == HttpParserState::Malformed || state == HttpParserState::HeadTooLarge)
+        ec = co_await reader.read(deadline);
+        if (reader.isMalformed())
             co_return Error { ErrorCode::Ambiguous, m_address.text() + " sent no HTTP answer" };
-        if (parser.body().size() > call.maximumReplyBytes)
+        if (reader.body().size() > call.maximumReplyBytes)
             co_return Error { ErrorCode::Ambiguous, m_address.text() + " sent more than " + std::to_string(call.maximumReplyBytes) + " bytes" };
-        if (state != HttpParserState::Complete)
+        if (!reader.isComplete())
             continue;
-        bool reusable = !ec && parser.head().keepAlive && connection->input().empty();
+        bool reusable = !ec && reader.head().keepAlive && connection->input().empty();
         if (reusable && m_idle.size() < maximumIdleConnections)
             m_idle.push_back(connection);
-        co_return AsyncHttpReply { .head = parser.head(), .body = std::move(parser.body()) };
+        co_return AsyncHttpReply { .head = reader.head(), .body = std::move(reader.body()) };
     }
     connection->close();
     co_return Error { isEndedByPeer(ec) ? ErrorCode::Disconnected : ErrorCode::Ambiguous, "no answer from " + m_address.text() + ": " + ec.message() };
--- a/tests/core/net/test_async_http_client.cpp
+++ b/tests/core/net/test_async_http_client.cpp
@@ -86,6 +86,37 @@
     }
 }
 
+// Guards against an interim response being taken for the reply, and its reply for that of the next call.
+BOOST_AUTO_TEST_CASE(interim_responses_are_skipped)
+{
+    ScriptedEndpoint server([](const auto& it) {
+        auto name = it.head.target.substr(1);
+        return ScriptedResponse { .bytes = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(name.size()) + "\r\n\r\n" + name };
+    });
+    asio::io_context context;
+    AsyncHttpClient client(context, server.address());
+    std::vector<std::string> replies;
+    auto run = [&]() -> asio::awaitable<void> {
+        for (const std::string name : { "first", "second" }) {
+            AsyncHttpCall call { .target = "/" + name };
+            auto reply = co_await client.call(call);
+            replies.push_back(reply && reply.value().status() == 200 ? reply.value().body : "none");
+        }
+    };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run();
+    BOOST_TEST(replies == (std::vector<std::string> { "first", "second" }), boost::test_tools::per_element());
+}
+
+// Guards against a call that goes on for as long as interim responses come.
+BOOST_AUTO_TEST_CASE(interim_responses_without_end_are_an_error)
+{
+    constexpr Milliseconds timeout { 3000 };
+    auto result = callFlood("", "HTTP/1.1 103 Early Hints\r\n\r\n", timeout);
+    BOOST_TEST(!result.succeeded);
+    BOOST_TEST(result.took.count() < timeout.count() / 2);
+}
+
 // Guards against a server that keeps a call going past its timeout by sending a little now and then.
 BOOST_AUTO_TEST_CASE(a_reply_that_trickles_ends_at_the_timeout)
 {
