Read replies of the own interface with the strict parser

What callers saw: on the own interface, what an engine, a plain service or another gateway sent with a broken head was passed on: statuses 000, 042, 099, 600 and 999; names of fields with a blank, a control byte or a byte over 127; lines without a colon, folded lines, bare CR or LF; two lengths, or a length with chunks, where the body was not the server's. A status of 042 counted as the engine's word that it had not started the request.

Cause: sendHttp() and HttpStream read with cpp-httplib's client, which accepts any three digits and any name, and skips lines that it does not understand, so that nothing at its interface shows them.

Change: both read with HttpResponseReader over an AsyncConnection, on the caller's thread. A malformed response is Ambiguous: the request may have been executed. Requests are written as before. cpp-httplib stays for the own server. One copy of the percent encoding is gone. Weighed against: to check status and names after the library, which cannot see the lines that it skipped.

--- a/core/net/http_client.cpp
+++ b/core/net/http_client.cpp
@@ -1,69 +1,52 @@
 #include "core/net/http_client.h"
 
+#include "core/net/async_http_client.h"
+#include "core/net/http_response_reader.h"
 #include "core/text.h"
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/post.hpp>
 #include <atomic>
-#include <cctype>
-#include <httplib.h>
 
 namespace Onyxnotch {
 
 namespace {
 
-    std::string percentEncode(const std::string& text)
-    {
-        static constexpr std::string_view digits = "0123456789ABCDEF";
-        std::string encoded;
-        for (unsigned char c : text) {
-            bool unreserved = std::isalnum(c) || c == '-' || c == '.' || c == '_' || c == '~';
-            if (unreserved) {
-                encoded += static_cast<char>(c);
-                continue;
-            }
-            encoded += '%';
-            encoded += digits[c >> 4U];
-            encoded += digits[c & 0xFU];
-        }
-        return encoded;
-    }
-
     constexpr std::size_t maximumBodyBytes = 16U << 20U;
     // Read timeouts that a complete body may take. A server that sends a byte now and then never runs into a single one.
     constexpr int maximumBodyReadTimeouts = 4;
 
-    // If connecting failed, the request cannot have reached the server. After any other failure it may have been executed.
-    Error failure(const Address& address, httplib::Error error)
+    // Encodes what may not stand in a request line as it is, because a path may have been decoded. A percent sign may begin what is encoded.
+    std::string encodeTarget(std::string_view path)
     {
-        bool neverSent = error == httplib::Error::Connection || error == httplib::Error::BindIPAddress || error == httplib::Error::ConnectionTimeout;
-        return Error { neverSent ? ErrorCode::Unavailable : ErrorCode::Ambiguous, address.text() + ": " + httplib::to_string(error) };
-    }
-
-    void configure(httplib::Client& client, const HttpCall& call)
-    {
-        client.set_tcp_nodelay(true);
-        client.set_keep_alive(false);
-        client.set_connection_timeout(call.connectTimeout);
-        client.set_read_timeout(call.readTimeout);
-        client.set_write_timeout(call.readTimeout);
+        constexpr std::string_view encodedCharacters = "+',;";
+        std::string target;
+        for (char it : path) {
+            bool isVisible = it > ' ' && it < '\x7f';
+            bool isKept = isVisible && encodedCharacters.find(it) == std::string_view::npos;
+            target += isKept ? std::string(1, it) : percentEncode({ &it, 1 });
+        }
+        return target;
     }
 
-    httplib::Request toLibrary(const HttpCall& call)
+    std::string encode(const HttpCall& call, const Address& address)
     {
-        httplib::Request request;
-        request.method = call.method;
-        request.path = call.path;
-        request.body = call.body;
+        bool mayHaveBody = !call.body.empty() || call.method == "POST" || call.method == "PUT" || call.method == "PATCH";
+        std::string text = call.method + " " + encodeTarget(call.path) + " HTTP/1.1\r\nHost: " + address.text() + "\r\nAccept: */*\r\nConnection: close\r\n";
         for (const auto& [name, value] : call.headers)
-            request.headers.emplace(name, value);
-        if (!call.body.empty())
-            request.headers.emplace("Content-Type", call.contentType);
-        return request;
+            text += name + ": " + value + "\r\n";
+        if (!call.body.empty() && !call.headers.contains("Content-Type"))
+            text += "Content-Type: " + call.contentType + "\r\n";
+        if (mayHaveBody)
+            text += "Content-Length: " + std::to_string(call.body.size()) + "\r\n";
+        return text + "\r\n" + call.body;
     }
 
-    HttpReply fromLibrary(const httplib::Response& response)
+    HttpReply replyOf(const HttpHead& head)
     {
-        HttpReply reply { .status = response.status, .headers = {}, .body = response.body };
-        for (const auto& [name, value] : response.headers)
-            reply.headers.emplace(lowerCase(name), value);
+        HttpReply reply { .status = head.status };
+        for (const auto& it : head.fields)
+            reply.headers.emplace(lowerCase(it.name), it.value);
         return reply;
     }
 
@@ -83,34 +66,59 @@
     return target;
 }
 
-Result<HttpReply> sendHttp(const Address& address, const HttpCall& call)
-{
-    httplib::Client client(address.host, address.port);
-    configure(client, call);
-    auto request = toLibrary(call);
-    std::string body;
-    auto deadline = steadyNow() + call.connectTimeout + maximumBodyReadTimeouts * call.readTimeout;
-    request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-        body.append(data, size);
-        return body.size() <= maximumBodyBytes && steadyNow() < deadline;
-    };
-    auto result = client.send(request);
-    if (!result)
-        return failure(address, result.error());
-    auto reply = fromLibrary(*result);
-    reply.body = std::move(body);
-    return reply;
-}
-
 struct HttpStream::Implementation {
     explicit Implementation(const Address& target)
         : address(target)
-        , client(target.host, target.port)
+        , connection(std::make_shared<AsyncConnection>(context))
     {
     }
 
+    // If connecting failed, the request cannot have reached the server. After any other failure it may have been executed.
+    Error unavailable(const std::string& reason) const { return { ErrorCode::Unavailable, address.text() + ": " + reason }; }
+    Error ambiguous(const std::string& reason) const { return { ErrorCode::Ambiguous, address.text() + ": " + reason }; }
+
+    asio::awaitable<Status> exchange(const HttpCall& call, const HeaderReceiver& onHeaders, const DataReceiver& onData)
+    {
+        auto ec = co_await connection->connect(address, steadyNow() + call.connectTimeout);
+        if (ec || cancelled)
+            co_return unavailable("cannot connect: " + ec.message());
+        auto bytes = encode(call, address);
+        ec = co_await connection->write(bytes, steadyNow() + call.readTimeout);
+        if (ec)
+            co_return ambiguous("cannot send the request: " + ec.message());
+        auto status = co_await receive(call, onHeaders, onData);
+        co_return status;
+    }
+
+    asio::awaitable<Status> receive(const HttpCall& call, const HeaderReceiver& onHeaders, const DataReceiver& onData)
+    {
+        HttpResponseReader reader(*connection);
+        if (call.method == "HEAD")
+            reader.expectNoBody();
+        bool isHeadReceived = false;
+        while (true) {
+            auto ec = co_await reader.read(steadyNow() + call.readTimeout);
+            if (reader.isMalformed())
+                co_return ambiguous("the response is malformed");
+            bool mayGoOn = true;
+            if (reader.hasHead() && !isHeadReceived)
+                mayGoOn = onHeaders(replyOf(reader.head()));
+            isHeadReceived = reader.hasHead();
+            if (mayGoOn && !reader.body().empty())
+                mayGoOn = onData(reader.body());
+            reader.body().clear();
+            if (!mayGoOn || cancelled)
+                co_return ambiguous("the call was aborted");
+            if (reader.isComplete())
+                co_return success();
+            if (ec)
+                co_return ambiguous("the response is incomplete: " + ec.message());
+        }
+    }
+
     Address address;
-    httplib::Client client;
+    asio::io_context context {};
+    std::shared_ptr<AsyncConnection> connection;
     std::atomic<bool> cancelled { false };
 };
 
@@ -123,27 +131,39 @@
 
 Status HttpStream::run(const HttpCall& call, const HeaderReceiver& onHeaders, const DataReceiver& onData)
 {
-    auto& address = m_implementation->address;
-    auto& client = m_implementation->client;
-    auto& cancelled = m_implementation->cancelled;
-    if (cancelled)
+    auto& it = *m_implementation;
+    if (it.cancelled)
         return Error { ErrorCode::Unavailable, "cancelled before it was sent" };
-    configure(client, call);
-    auto request = toLibrary(call);
-    request.response_handler = [&](const httplib::Response& response) { return !cancelled && onHeaders(fromLibrary(response)); };
-    request.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
-        return !cancelled && onData(std::string_view(data, size));
+    Status result = it.ambiguous("no response");
+    auto exchange = [&]() -> asio::awaitable<void> {
+        result = co_await it.exchange(call, onHeaders, onData);
+        it.connection->close();
     };
-    auto result = client.send(request);
-    if (!result)
-        return failure(address, result.error());
-    return success();
+    asio::co_spawn(it.context, exchange(), asio::detached);
+    it.context.run();
+    return result;
 }
 
 void HttpStream::cancel()
 {
     m_implementation->cancelled = true;
-    m_implementation->client.stop();
+    asio::post(m_implementation->context, [connection = m_implementation->connection] { connection->close(); });
+}
+
+Result<HttpReply> sendHttp(const Address& address, const HttpCall& call)
+{
+    HttpReply reply;
+    auto deadline = steadyNow() + call.connectTimeout + maximumBodyReadTimeouts * call.readTimeout;
+    auto onHeaders = [&](const HttpReply& head) {
+        reply = head;
+        return true;
+    };
+    auto onData = [&](std::string_view data) {
+        reply.body.append(data);
+        return reply.body.size() <= maximumBodyBytes && steadyNow() < deadline;
+    };
+    BOOST_OUTCOME_TRYV(HttpStream(address).run(call, onHeaders, onData));
+    return reply;
 }
 
 } // namespace Onyxnotch
--- a/core/net/http_client.h
+++ b/core/net/http_client.h
@@ -1,5 +1,4 @@
-// Blocking HTTP client based on cpp-httplib. Each call uses its own connection, so that a failure tells whether the server may have
-// executed the request.
+// Blocking HTTP client. Each call uses its own connection, so that a failure tells whether the server may have executed the request.
 #pragma once
 
 #include "core/clock.h"
@@ -36,8 +35,8 @@
 // Appends the query to the path; names and values are percent-encoded (RFC 3986).
 std::string pathWithQuery(const std::string& path, const std::map<std::string, std::string>& query);
 
-// Errors: Unavailable if the connection could not be established, so that no byte was sent; Ambiguous in all other cases, also if the body is
-// larger than 16 MiB or takes too long.
+// Errors: Unavailable if the connection could not be established, so that no byte was sent; Ambiguous in all other cases, also if the response
+// is malformed, or its body is larger than 16 MiB or takes too long.
 Result<HttpReply> sendHttp(const Address&, const HttpCall&);
 
 // An HTTP call whose response body is processed as it arrives, and which can be cancelled from another thread.
--- a/core/net/http_message.h
+++ b/core/net/http_message.h
@@ -1,4 +1,4 @@
-// HTTP requests and responses as plain structs, so that only http_server.cpp and http_client.cpp depend on the HTTP library.
+// HTTP requests and responses as plain structs, so that only http_server.cpp depends on the HTTP library.
 #pragma once
 
 #include <functional>
