Refuse encoded replies of the own interface, and say what the new parts do

No request of the own interface asks for an encoding. cpp-httplib's client decoded one that came all the same; read with the strict parser, its body would be passed on as the server's own, so it is an error like a malformed response (a case of HttpClients, which passes).

--- a/core/net/http_client.cpp
+++ b/core/net/http_client.cpp
@@ -42,6 +42,9 @@
         return text + "\r\n" + call.body;
     }
 
+    // No request asks for an encoding, and the caller could not tell an encoded body from the server's own.
+    bool isEncoded(const HttpHead& head) { return head.find("content-encoding") && !equalsIgnoringCase(head.value("content-encoding"), "identity"); }
+
     HttpReply replyOf(const HttpHead& head)
     {
         HttpReply reply { .status = head.status };
@@ -77,6 +80,7 @@
     Error unavailable(const std::string& reason) const { return { ErrorCode::Unavailable, address.text() + ": " + reason }; }
     Error ambiguous(const std::string& reason) const { return { ErrorCode::Ambiguous, address.text() + ": " + reason }; }
 
+    // Sends the request on a new connection and receives the response.
     asio::awaitable<Status> exchange(const HttpCall& call, const HeaderReceiver& onHeaders, const DataReceiver& onData)
     {
         auto ec = co_await connection->connect(address, steadyNow() + call.connectTimeout);
@@ -90,6 +94,7 @@
         co_return status;
     }
 
+    // Passes the response on as it arrives.
     asio::awaitable<Status> receive(const HttpCall& call, const HeaderReceiver& onHeaders, const DataReceiver& onData)
     {
         HttpResponseReader reader(*connection);
@@ -98,7 +103,7 @@
         bool isHeadReceived = false;
         while (true) {
             auto ec = co_await reader.read(steadyNow() + call.readTimeout);
-            if (reader.isMalformed())
+            if (reader.isMalformed() || isEncoded(reader.head()))
                 co_return ambiguous("the response is malformed");
             bool mayGoOn = true;
             if (reader.hasHead() && !isHeadReceived)
--- a/core/net/http_client.h
+++ b/core/net/http_client.h
@@ -36,7 +36,7 @@
 std::string pathWithQuery(const std::string& path, const std::map<std::string, std::string>& query);
 
 // Errors: Unavailable if the connection could not be established, so that no byte was sent; Ambiguous in all other cases, also if the response
-// is malformed, or its body is larger than 16 MiB or takes too long.
+// is malformed or its body encoded, or if the body is larger than 16 MiB or takes too long.
 Result<HttpReply> sendHttp(const Address&, const HttpCall&);
 
 // An HTTP call whose response body is processed as it arrives, and which can be cancelled from another thread.
--- a/modules/forward/exchange.cpp
+++ b/modules/forward/exchange.cpp
@@ -104,10 +104,8 @@
         m_waiter->timer.cancel();
 }
 
-// A request that may have been executed is not refused: it is answered when the node ends it at the latest.
 bool Exchange::mayForward() const { return !m_isEndedByStop && (!m_attemptTracker.neverExecuted() || m_context.mayForward(m_deadline, steadyNow())); }
 
-// Refuses a request that was not executed: it might not end before the process does, and another node can serve it now.
 Exchange::LocalResponse Exchange::stoppingResponse() const { return { .retryAfter = m_context.options.retryAfter, .reason = "node_stopping" }; }
 
 asio::awaitable<ExchangeResult> Exchange::run()
--- a/modules/forward/exchange.h
+++ b/modules/forward/exchange.h
@@ -110,8 +110,10 @@
     void countNotice(const EndpointNotice&);
     void writeNoticeLog(const ListedEndpoint&, const EndpointNotice&);
     LocalResponse withheldResponse();
+    // Refuses a request that was not executed: it might not end before the process does, and another node can serve it now.
     LocalResponse stoppingResponse() const;
-    // Whether the request may be sent to an endpoint although the node stops.
+    // Whether the request may be sent to an endpoint although the node stops. One that may have been executed is not refused any more: it is
+    // answered when the node ends it at the latest.
     bool mayForward() const;
     LocalResponse noEndpointResponse();
     // The delay until the request's next turn, not before `earliest` has passed; `otherwise` if the service is not short over all nodes.
@@ -166,6 +168,7 @@
     asio::awaitable<ExchangeResult> respond(LocalResponse);
     // Ends the request after its last attempt, which did not deliver, with the response that the attempts allow.
     asio::awaitable<ExchangeResult> finishUndelivered(AttemptOutcome);
+    // Keeps a 5xx response of an endpoint, in case no later attempt succeeds.
     void keepFailure(EndpointCall&, const ChosenEndpoint&);
     // Passes on the last 5xx response of an endpoint.
     asio::awaitable<ExchangeResult> relayFailure();
@@ -241,7 +244,7 @@
     // The last complete 5xx response of an endpoint; passed on if no later attempt succeeds.
     std::optional<HttpHead> m_failureHead {};
     std::string m_failureBody {};
-    std::optional<ResponseMemory::Reservation> m_failureMemory {};
+    std::optional<ResponseMemory::Reservation> m_failureMemory {}; // Of `m_failureBody`, also while it is written.
     bool m_isWriting { false }; // A write to the client is in progress.
 };
 
--- a/modules/forward/exchange_queueing.cpp
+++ b/modules/forward/exchange_queueing.cpp
@@ -118,8 +118,8 @@
     return std::min(std::chrono::floor<Milliseconds>(std::chrono::duration<double>(seconds)), timeLeft() - m_context.options.minimumTimeToSend);
 }
 
-// The response if the request may not stay in the queue, regardless of free places: it was displaced, it may not end
-// before the node does, it is suspected, or it has to start over with another route, service or team, where the response is not sent.
+// The response if the request may not stay in the queue, regardless of free places: it was displaced, it may not end before the node does,
+// it is suspected, or it has to start over with another route, service or team, where the response is not sent.
 std::optional<Exchange::LocalResponse> Exchange::checkStay(const QueueWaiter& waiter)
 {
     if (waiter.isDisplaced)
--- a/modules/forward/exchange_relay.cpp
+++ b/modules/forward/exchange_relay.cpp
@@ -30,7 +30,6 @@
     return m_route->kind == RequestKind::Stream && head.status / 100 == 2 && !HttpStatus::allowsNoBody(head.status) && head.find(m_context.options.names.receipt) && !head.find("content-encoding");
 }
 
-// Keeps a 5xx response of an endpoint, in case no later attempt succeeds.
 void Exchange::keepFailure(EndpointCall& call, const ChosenEndpoint& chosen)
 {
     m_failureHead = call.head();
--- a/tests/core/net/test_http_client.cpp
+++ b/tests/core/net/test_http_client.cpp
@@ -89,7 +89,7 @@
 BOOST_AUTO_TEST_CASE(a_response_with_a_broken_field_is_an_error)
 {
     for (const std::string line : { " X-Field: a", "X Field: a", "X-Field : a", "Transfer-Encoding : chunked", "Content-Length : 3", "X-\x01: a", "X-\x7f: a", "X-\x80: a", "X-(Field): a", ": a", "X-Field", "X-Field: a\r\n folded",
-             "X-Field: a\rY-Field: b", "X-Field: a\nContent-Length: 3", "X-Field: \x01", "Content-Length: 3", "Transfer-Encoding: chunked", "Transfer-Encoding: gzip" }) {
+             "X-Field: a\rY-Field: b", "X-Field: a\nContent-Length: 3", "X-Field: \x01", "Content-Length: 3", "Transfer-Encoding: chunked", "Transfer-Encoding: gzip", "Content-Encoding: gzip" }) {
         BOOST_TEST_CONTEXT(line)
         expectAmbiguous("HTTP/1.1 200 OK\r\n" + lengthLine + line + "\r\n\r\n" + foreignBody);
     }
