--- a/core/net/http_client.cpp
+++ b/core/net/http_client.cpp
@@ -34,7 +34,7 @@
         bool mayHaveBody = !call.body.empty() || call.method == "POST" || call.method == "PUT" || call.method == "PATCH";
         std::string text = call.method + " " + encodeTarget(call.path) + " HTTP/1.1\r\nHost: " + address.text() + "\r\nAccept: */*\r\nConnection: close\r\n";
         for (const auto& [name, value] : call.headers)
-            text += name + ": " + value + "\r\n";
+            text.append(name).append(": ").append(value).append("\r\n");
         if (!call.body.empty() && !call.headers.contains("Content-Type"))
             text += "Content-Type: " + call.contentType + "\r\n";
         if (mayHaveBody)
--- a/tests/core/net/test_http_client.cpp
+++ b/tests/core/net/test_http_client.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-constexpr auto foreignBody = "not-sound";
-const std::string lengthLine = "Content-Length: 9\r\n";
+constexpr auto soundRest = "Content-Length: 9\r\n\r\nnot-sound"; // Of a response, after its start line.
 
 // What a caller gets from a server that sends these bytes and closes the connection.
 struct Received {
@@ -81,7 +80,7 @@
 {
     for (const auto* line : { "HTTP/1.1 000 OK", "HTTP/1.1 042 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 00200 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/2.0 200 OK", "200 OK", "" }) {
         BOOST_TEST_CONTEXT(line)
-        expectAmbiguous(line + ("\r\n" + lengthLine) + "\r\n" + foreignBody);
+        expectAmbiguous(std::string(line).append("\r\n").append(soundRest));
     }
 }
 
@@ -91,7 +90,7 @@
     for (const std::string line : { " X-Field: a", "X Field: a", "X-Field : a", "Transfer-Encoding : chunked", "Content-Length : 3", "X-\x01: a", "X-\x7f: a", "X-\x80: a", "X-(Field): a", ": a", "X-Field", "X-Field: a\r\n folded",
              "X-Field: a\rY-Field: b", "X-Field: a\nContent-Length: 3", "X-Field: \x01", "Content-Length: 3", "Transfer-Encoding: chunked", "Transfer-Encoding: gzip", "Content-Encoding: gzip" }) {
         BOOST_TEST_CONTEXT(line)
-        expectAmbiguous("HTTP/1.1 200 OK\r\n" + lengthLine + line + "\r\n\r\n" + foreignBody);
+        expectAmbiguous(std::string("HTTP/1.1 200 OK\r\n").append(line).append("\r\n").append(soundRest));
     }
 }
 
--- a/tests/entry/test_broken_heads.cpp
+++ b/tests/entry/test_broken_heads.cpp
@@ -52,15 +52,11 @@
     "Content-Length : 3",
     "Content Length: 3",
     "Transfer-Encoding : chunked",
-    "X-\x01"
-    "Field: a",
+    "X-\001Field: a",
     "\x1fX-Field: a",
-    "X-\x7f"
-    "Field: a",
-    "X-\x80"
-    "Field: a",
-    "X-\xff"
-    "Field: a",
+    "X-\177Field: a",
+    "X-\200Field: a",
+    "X-\377Field: a",
     std::string("X-\0Field: a", 11),
     "X-(Field): a",
     "X-\"Field\": a",
